--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,183 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "net/connection.h"
+#include "wire.h"
+
+namespace millethollow {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Scalar(const Json& value) {
+  std::string text = value.is_string() ? value.get<std::string>() : value.dump();
+  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return text;
+}
+
+// The nested settings as the path=value pairs that the simulator's first message has: one reader
+// serves both.
+void Flatten(const std::string& path, const Json& value,
+             std::vector<std::pair<std::string, std::string>>* out) {
+  const std::string dot = path.empty() ? "" : path + ".";
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) Flatten(dot + key, item, out);
+  } else if (value.is_array()) {
+    const bool plain = std::none_of(value.begin(), value.end(),
+                                    [](const Json& item) { return item.is_structured(); });
+    if (plain && !value.empty()) {
+      std::string joined;
+      for (const Json& item : value) joined += (joined.empty() ? "" : ",") + Scalar(item);
+      out->emplace_back(path, joined);
+      return;
+    }
+    out->emplace_back(path + ".count", std::to_string(value.size()));
+    for (std::size_t i = 0; i < value.size(); ++i) Flatten(dot + std::to_string(i), value[i], out);
+  } else if (!value.is_null()) {
+    out->emplace_back(path, Scalar(value));
+  }
+}
+
+// Reads a member of the type that `out` has; leaves it alone where there is none.
+template <typename T>
+bool Read(const Json& object, const char* key, T* out, std::string* why) {
+  const auto it = object.find(key);
+  if (it == object.end() || it->is_null()) return true;
+  try {
+    if constexpr (std::is_arithmetic_v<T>) {
+      if (!it->is_number()) throw std::runtime_error("not a number");
+    }
+    *out = it->get<T>();
+    return true;
+  } catch (const std::exception&) {
+    *why = std::string("configuration: '") + key + "' has the wrong type";
+    return false;
+  }
+}
+
+Json Child(const Json& object, const char* key) {
+  const auto it = object.find(key);
+  return it != object.end() && it->is_object() ? *it : Json::object();
+}
+
+std::vector<std::string> NamesOf(const Json& settings, const char* list) {
+  std::vector<std::string> names;
+  const auto it = settings.find(list);
+  if (it == settings.end() || !it->is_array()) return names;
+  for (const Json& item : *it) {
+    const Json& name = item.is_object() && item.contains("name") ? item["name"] : item;
+    names.push_back(name.is_string() ? name.get<std::string>() : name.dump());
+  }
+  return names;
+}
+
+int Find(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+bool ReadGearman(const Json& gearman, Config* c, std::string* why) {
+  std::string zone, kind;
+  if (!Read(gearman, "listen", &c->gearman_listen, why) ||
+      !Read(gearman, "cell", &c->gearman_cell, why) || !Read(gearman, "zone", &zone, why) ||
+      !Read(gearman, "kind", &kind, why) || !Read(gearman, "path", &c->gearman_path, why)) {
+    return false;
+  }
+  for (const auto& [name, names, out] :
+       {std::tuple{&zone, &c->zones, &c->gearman_zone}, {&kind, &c->kinds, &c->gearman_kind}}) {
+    if (name->empty()) continue;
+    *out = Find(*names, *name);
+    if (*out < 0) return *why = "configuration: gearman names an unknown '" + *name + "'", false;
+  }
+  const Json functions = Child(gearman, "functions");
+  for (const auto& [name, mapping] : functions.items()) {
+    std::string cls, tenant;
+    if (!mapping.is_object()) return *why = "configuration: gearman function " + name, false;
+    if (!Read(mapping, "class", &cls, why) || !Read(mapping, "tenant", &tenant, why)) return false;
+    const GearmanFunction f{Find(c->classes, cls), tenant.empty() ? 0 : Find(c->tenants, tenant)};
+    if (f.cls < 0) return *why = "configuration: gearman function " + name + ": no class", false;
+    if (f.tenant < 0) return *why = "configuration: gearman function " + name + ": tenant", false;
+    c->gearman_functions[name] = f;
+  }
+  return true;
+}
+
+}  // namespace
+
+bool ReadConfig(std::string_view text, Config* c, std::string* why) {
+  const Json root = Json::parse(text, nullptr, false, true);
+  if (!root.is_object()) return *why = "configuration: not a JSON object", false;
+  const Json settings = Child(root, "settings"), limits = Child(settings, "limits");
+  std::string seed;
+  if (root.contains("seed") && root["seed"].is_string()) {
+    seed = root["seed"].get<std::string>();
+    c->seed = std::strtoull(seed.c_str(), nullptr, 16);
+  }
+  const Json own_limits = Child(root, "limits");
+  if (!Read(root, "name", &c->name, why) || !Read(root, "listen", &c->listen, why) ||
+      !Read(root, "discovery", &c->discovery, why) ||
+      !Read(root, "peer_listen", &c->peer_listen, why) || !Read(root, "peers", &c->peers, why) ||
+      !Read(root, "peers_all", &c->peers_all, why) || !Read(root, "log_level", &c->log_level, why) ||
+      !Read(own_limits, "sockets", &c->sockets, why) ||
+      !Read(limits, "conn_idle_s", &c->conn_idle_s, why) ||
+      !Read(limits, "connect_timeout_s", &c->connect_timeout_s, why)) {
+    return false;
+  }
+  if (root.contains("known")) c->known = root["known"].dump();
+  c->classes = NamesOf(settings, "classes");
+  c->tenants = NamesOf(settings, "tenants");
+  c->zones = NamesOf(settings, "zones");
+  c->kinds = NamesOf(settings, "kinds");
+  c->columns = NamesOf(Child(settings, "report"), "columns");
+  std::vector<std::pair<std::string, std::string>> flat;
+  Flatten("", settings, &flat);
+  decksail::wire::Pairs pairs(flat.begin(), flat.end());
+  if (!decksail::wire::ParseSettings(pairs, &c->settings, why)) {
+    *why = "configuration: settings: " + *why;
+    return false;
+  }
+  const Json link = Child(root, "levels");
+  if (!ReadGearman(Child(root, "gearman"), c, why) || !Read(link, "link", &c->link, why) ||
+      !Read(link, "planners", &c->planners, why) ||
+      !Read(link, "forwarders", &c->forwarders, why)) {
+    return false;
+  }
+  if (c->sockets < 32) return *why = "configuration: fewer than 32 sockets allowed", false;
+  if (c->planners < 1 || c->forwarders < 1 || c->planners > 64 || c->forwarders > 64) {
+    return *why = "configuration: levels: 1 to 64 planners and forwarders", false;
+  }
+  return true;
+}
+
+bool LoadConfig(const std::string& path, Config* config, std::string* why) {
+  const auto env = [](const char* name) {
+    const char* value = std::getenv(name);
+    return std::string(value == nullptr ? "" : value);
+  };
+  const std::string file = path.empty() ? env("LB_CONFIG") : path;
+  if (file.empty()) return *why = "configuration: give --config FILE or set LB_CONFIG", false;
+  std::ifstream in(file);
+  std::stringstream text;
+  if (!in || !(text << in.rdbuf())) return *why = "configuration: cannot read " + file, false;
+  if (!ReadConfig(text.str(), config, why)) return false;
+  if (config->name.empty()) config->name = env("LB_NAME");
+  if (config->listen.empty()) config->listen = env("LB_LISTEN");
+  if (config->discovery.empty()) config->discovery = env("LB_DISCOVERY");
+  const auto check = [why](const std::string& address, const char* what) {
+    if (address.empty() || ParseAddress(address)) return true;
+    *why = std::string("configuration: ") + what + " is not an IPv4 address:port: " + address;
+    return false;
+  };
+  if (config->listen.empty() && config->gearman_listen.empty()) {
+    return *why = "configuration: nothing to listen on", false;
+  }
+  return check(config->listen, "listen") && check(config->discovery, "discovery") &&
+         check(config->peer_listen, "peer_listen") && check(config->gearman_listen, "gearman");
+}
+
+}  // namespace millethollow
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,47 @@
+// Configuration: the platform's LB_* variables and JSON, and the operator's file, which has the
+// same form and more.
+#ifndef MILLETHOLLOW_CONFIG_CONFIG_H_
+#define MILLETHOLLOW_CONFIG_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decksail/balancer.h"
+
+namespace millethollow {
+
+struct GearmanFunction {
+  int cls = 0, tenant = 0;
+};
+
+struct Config {
+  std::string name, listen, discovery, peer_listen, peers_all, known = "{}", log_level = "info";
+  std::vector<std::string> peers;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+
+  // From the settings.
+  decksail::Settings settings;
+  std::vector<std::string> classes, tenants, zones, kinds, columns;
+  double conn_idle_s = 60, connect_timeout_s = 0.25;
+
+  // Only in an operator's file.
+  std::string gearman_listen;
+  std::map<std::string, GearmanFunction> gearman_functions;
+  int gearman_zone = 0, gearman_cell = 0, gearman_kind = 0;
+  std::string gearman_path = "/api";      // asked of HTTP next hops
+  std::string link;                       // path of the Unix sockets; empty: one process
+  int planners = 1, forwarders = 1;
+};
+
+// Reads a file's text. Unknown keys are ignored; false, with one clear line, if it can't be used.
+bool ReadConfig(std::string_view text, Config* config, std::string* why);
+// From `path`, or else from $LB_CONFIG, with the other LB_* variables where the file is silent.
+bool LoadConfig(const std::string& path, Config* config, std::string* why);
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/core/envelope.h
@@ -0,0 +1,57 @@
+// Envelopes, attempts and outcomes: what both levels talk about. Knows no wire.
+#ifndef MILLETHOLLOW_CORE_ENVELOPE_H_
+#define MILLETHOLLOW_CORE_ENVELOPE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "decksail/balancer.h"
+
+namespace millethollow {
+
+using decksail::Verdict;
+
+// Unique over all forwarders of a planner: the forwarder's number stands in the top 16 bits.
+using EnvelopeId = std::uint64_t;
+constexpr int kForwarderShift = 48;
+
+struct Envelope {
+  EnvelopeId id = 0;
+  std::string wire_id;  // the sender's own name for it, passed on unchanged
+  int cls = 0, tenant = 0;
+  std::string key;           // idempotency key; empty where the class has none
+  std::string affinity;      // what it is about
+  std::string body;          // stays with the forwarder
+  double expires_at = 0;     // on the loop's clock
+  double slots = 1, memory = 0, size_hint_s = 0;
+  bool retry = false;  // marked as the sender's repeat
+};
+
+struct Outcome {
+  Verdict verdict = Verdict::kServed;
+  double latency_s = 0;
+  bool has_report = false;
+  double report[4] = {0, 0, 0, 0};
+};
+
+struct FinalAnswer {
+  enum class Kind : std::uint8_t { kServed, kDeferred, kFailed };
+  Kind kind = Kind::kFailed;
+  int attempt = -1;          // kServed: whose result it is
+  double retry_after_s = 0;  // kDeferred; 0: no advice
+};
+
+inline bool NeverRan(Verdict v) {
+  return v == Verdict::kTurnedAway || v == Verdict::kNoConnection || v == Verdict::kNotSent;
+}
+
+// What the program has taken in, sent and answered; printed on SIGUSR1 and at exit.
+struct Counters {
+  std::uint64_t taken = 0, sent = 0, probes = 0, served = 0, deferred = 0, failed = 0, gone = 0,
+                blocked = 0, bad_input = 0, peers_in = 0, peers_out = 0, lists = 0;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_CORE_ENVELOPE_H_
--- /dev/null
+++ b/src/core/planner.cpp
@@ -0,0 +1,381 @@
+#include "core/planner.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace millethollow {
+
+using decksail::Group;
+using decksail::ListKind;
+using decksail::Member;
+using decksail::Readiness;
+using decksail::Semantics;
+
+bool Planner::Entry::MayHaveRun() const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const Attempt& a) { return a.may_have_run; });
+}
+
+Planner::Planner(const decksail::Settings& settings, std::uint64_t seed, Deadlines* deadlines,
+                 Hooks hooks, Counters* counters)
+    : settings_(settings),
+      balancer_(settings, seed),
+      deadlines_(deadlines),
+      hooks_(std::move(hooks)),
+      counters_(counters) {}
+
+void Planner::Start(const std::vector<Member>& known) {
+  Post([this] { Deliver(decksail::Started{}); });
+  ListKnown(ListKind::kRestored, known);
+}
+
+std::uint64_t Planner::AddForwarder(ForwarderPort* port) {
+  forwarders_[++next_forwarder_] = port;
+  return next_forwarder_;
+}
+
+void Planner::ForwarderLost(std::uint64_t forwarder) {
+  forwarders_.erase(forwarder);
+  std::vector<EnvelopeId> lost;
+  for (const auto& [id, entry] : ledger_) {
+    if (id >> kForwarderShift == forwarder) lost.push_back(id);
+  }
+  std::sort(lost.begin(), lost.end());
+  for (const EnvelopeId id : lost) {
+    SenderGone(id);
+    Entry* entry = Find(id);
+    for (std::size_t i = 0; entry != nullptr && i < entry->attempts.size(); ++i) {
+      if (!entry->attempts[i].open) continue;
+      End(id, entry, i, {.verdict = Verdict::kConnectionLost});
+      entry = Find(id);
+    }
+  }
+  for (auto& [name, hop] : next_hops_) {
+    if (!hop.local || hop.forwarder != forwarder) continue;
+    Member gone = hop.member;
+    gone.readiness = Readiness::kGone;
+    LocalNextHop(forwarder, gone);
+  }
+}
+
+// Events queue up and run one after the other: what an action sets off never re-enters the module.
+void Planner::Post(std::function<void()> event) {
+  queue_.push_back(std::move(event));
+  if (running_) return;
+  running_ = true;
+  while (!queue_.empty()) {
+    const auto next = std::move(queue_.front());
+    queue_.pop_front();
+    next();
+  }
+  running_ = false;
+}
+
+void Planner::Deliver(const decksail::Event& event) {
+  decksail::Actions actions;
+  balancer_.Handle(hooks_.now(), event, &actions);
+  for (const decksail::Action& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
+  }
+}
+
+Planner::Entry* Planner::Find(EnvelopeId id) {
+  const auto it = ledger_.find(id);
+  return it == ledger_.end() ? nullptr : &it->second;
+}
+
+Planner::Entry* Planner::Find(const std::string& name, EnvelopeId* id) {
+  std::from_chars(name.data(), name.data() + name.size(), *id);
+  return Find(*id);
+}
+
+ForwarderPort* Planner::PortOf(EnvelopeId id) {
+  const auto it = forwarders_.find(id >> kForwarderShift);
+  return it == forwarders_.end() ? nullptr : it->second;
+}
+
+void Planner::Taken(const Envelope& envelope) {
+  counters_->taken += 1;
+  const EnvelopeId id = envelope.id;
+  Entry& entry = ledger_[id];
+  entry.cls = envelope.cls;
+  entry.expiry = deadlines_->At(envelope.expires_at, [this, id] { Expire(id); });
+  Envelope meta = envelope;
+  meta.body.clear();
+  Post([this, meta = std::move(meta)] {
+    const std::string name = std::to_string(meta.id);
+    Deliver(decksail::JobArrived{.id = name,
+                                 .expires_s = meta.expires_at,
+                                 .slots = meta.slots,
+                                 .memory = meta.memory,
+                                 .tenant = meta.tenant,
+                                 .cls = meta.cls,
+                                 .retry = meta.retry,
+                                 .key = meta.affinity,
+                                 .size_hint_s = meta.size_hint_s});
+  });
+}
+
+void Planner::SenderGone(EnvelopeId id) {
+  Entry* entry = Find(id);
+  if (entry == nullptr || entry->answered) return;
+  entry->answered = true;  // no answer is owed any more
+  counters_->gone += 1;
+  deadlines_->Drop(&entry->expiry);
+  Post([this, id] {
+    const std::string name = std::to_string(id);
+    Deliver(decksail::JobGone{name});
+    Forget(id);
+  });
+}
+
+void Planner::Began(EnvelopeId id, int attempt) {
+  const Entry* entry = Find(id);
+  if (entry == nullptr || static_cast<std::size_t>(attempt) >= entry->attempts.size()) return;
+  if (!entry->attempts[static_cast<std::size_t>(attempt)].open) return;
+  Post([this, id, attempt] {
+    const std::string name = std::to_string(id);
+    Deliver(decksail::AttemptNote{name, attempt, decksail::NoteKind::kStarted, 0});
+  });
+}
+
+void Planner::Ended(EnvelopeId id, int attempt, const Outcome& outcome) {
+  Entry* entry = Find(id);
+  if (entry == nullptr || attempt < 0) return;
+  if (static_cast<std::size_t>(attempt) >= entry->attempts.size()) return;
+  End(id, entry, static_cast<std::size_t>(attempt), outcome);
+}
+
+void Planner::End(EnvelopeId id, Entry* entry, std::size_t attempt, const Outcome& outcome) {
+  Attempt& a = entry->attempts[attempt];
+  if (!a.open) return;  // called off or timed out meanwhile
+  a.open = false;
+  a.may_have_run = !NeverRan(outcome.verdict);
+  if (outcome.verdict == Verdict::kServed && !entry->answered) {
+    Answer(id, entry, {.kind = FinalAnswer::Kind::kServed, .attempt = static_cast<int>(attempt)});
+  }
+  Post([this, id, attempt, outcome] {
+    const Entry* now = Find(id);
+    const std::string name = std::to_string(id);
+    decksail::AttemptEnded e{.id = name,
+                             .attempt = static_cast<int>(attempt),
+                             .verdict = outcome.verdict,
+                             .latency_s = outcome.latency_s,
+                             .terminal = now == nullptr || now->answered,
+                             .has_report = outcome.has_report};
+    std::copy(std::begin(outcome.report), std::end(outcome.report), std::begin(e.report));
+    Deliver(e);
+    Forget(id);
+  });
+}
+
+void Planner::Probed(const std::string& next_hop, const Outcome& outcome) {
+  Post([this, next_hop, outcome] {
+    decksail::ProbeAnswered e{.worker = next_hop,
+                              .verdict = outcome.verdict,
+                              .latency_s = outcome.latency_s,
+                              .has_report = outcome.has_report};
+    std::copy(std::begin(outcome.report), std::end(outcome.report), std::begin(e.report));
+    Deliver(e);
+  });
+}
+
+void Planner::Note(const Member& member, bool local, std::uint64_t forwarder) {
+  NextHop& hop = next_hops_[member.worker];
+  hop.member = member;
+  hop.local = local;
+  hop.forwarder = forwarder;
+  if (member.readiness == Readiness::kReady) {
+    hop.drain_told_at = -1;
+  } else if (hop.drain_told_at < 0) {
+    hop.drain_told_at = hooks_.now();
+  }
+}
+
+void Planner::LocalNextHop(std::uint64_t forwarder, const Member& member) {
+  Note(member, true, forwarder);
+  Post([this, member] {
+    const std::vector<Member> changed{member};
+    Deliver(decksail::MembersKnown{ListKind::kUpdate, &changed});
+  });
+}
+
+void Planner::ListKnown(ListKind kind, const std::vector<Member>& members) {
+  std::vector<Member> list = members;
+  if (kind == ListKind::kReplace || kind == ListKind::kRestored) {
+    // A full list replaces: who is missing is gone. Next hops of our own are not on the list.
+    for (auto& [name, hop] : next_hops_) {
+      if (hop.local) {
+        list.push_back(hop.member);
+      } else if (std::none_of(members.begin(), members.end(),
+                              [&](const Member& m) { return m.worker == name; })) {
+        hop.member.readiness = Readiness::kGone;
+        if (hop.drain_told_at < 0) hop.drain_told_at = hooks_.now();
+      }
+    }
+  }
+  for (const Member& m : members) Note(m, false, 0);
+  Post([this, kind, list = std::move(list)] {
+    Deliver(decksail::MembersKnown{kind, kind == ListKind::kUnavailable ? nullptr : &list});
+  });
+}
+
+void Planner::PeerSaid(int sender, const std::string& body) {
+  counters_->peers_in += 1;
+  Post([this, sender, body] { Deliver(decksail::PeerMessage{sender, body}); });
+}
+
+// The last line before the wire. What it stops the module learns as 'not sent'.
+const char* Planner::WhyNot(const Entry& entry, EnvelopeId id, const std::string& next_hop) const {
+  const double now = hooks_.now();
+  if (entry.answered) return "answered";
+  if (entry.attempts.size() >= static_cast<std::size_t>(settings_.most_tries)) return "tries";
+  const auto it = next_hops_.find(next_hop);
+  if (it == next_hops_.end()) return "unlisted";
+  const NextHop& hop = it->second;
+  if (hop.drain_told_at >= 0 && now - hop.drain_told_at > 0.9 * settings_.drain_grace_s) {
+    return "drains";
+  }
+  if (hop.local && hop.forwarder != id >> kForwarderShift) return "elsewhere";
+  const decksail::ClassSettings& c = settings_.classes[static_cast<std::size_t>(entry.cls)];
+  for (const Attempt& a : entry.attempts) {
+    if (a.open && !settings_.may_duplicate) return "duplicate";
+    if (!a.may_have_run || c.semantics == Semantics::kRepeatable) continue;
+    if (c.semantics == Semantics::kOnce) return "once";
+    if (now - a.sent_at > c.window_s) return "window";
+    const auto first = next_hops_.find(a.next_hop);
+    const bool zone = first != next_hops_.end() && first->second.member.zone == hop.member.zone;
+    const bool cell = zone && first->second.member.cell == hop.member.cell;
+    if ((c.group == Group::kZone && !zone) || (c.group == Group::kCell && !cell)) return "group";
+  }
+  return nullptr;
+}
+
+void Planner::Do(const decksail::Send& a) {
+  EnvelopeId id = 0;
+  Entry* entry = Find(a.id, &id);
+  if (entry == nullptr) return hooks_.log("send for an unknown envelope dropped");
+  const char* why = WhyNot(*entry, id, a.worker);
+  ForwarderPort* port = PortOf(id);
+  if (port == nullptr) why = "no forwarder";
+  const std::size_t attempt = entry->attempts.size();
+  entry->attempts.push_back({.next_hop = a.worker, .sent_at = hooks_.now()});
+  if (why != nullptr) {
+    counters_->blocked += 1;
+    hooks_.log(std::string("send blocked: ") + why);
+    return End(id, entry, attempt, {.verdict = Verdict::kNotSent});
+  }
+  counters_->sent += 1;
+  if (a.timeout_s > 0) {
+    deadlines_->At(hooks_.now() + a.timeout_s, [this, id, attempt] {
+      Entry* late = Find(id);
+      if (late == nullptr || !late->attempts[attempt].open) return;
+      if (ForwarderPort* p = PortOf(id)) p->Cancel(id, static_cast<int>(attempt));
+      End(id, late, attempt, {.verdict = Verdict::kNoAnswer});
+    });
+  }
+  port->Send(id, static_cast<int>(attempt), a.worker);
+}
+
+void Planner::Do(const decksail::Refuse& a) {
+  EnvelopeId id = 0;
+  Entry* entry = Find(a.id, &id);
+  if (entry == nullptr || entry->answered) return;
+  const decksail::ClassSettings& c = settings_.classes[static_cast<std::size_t>(entry->cls)];
+  const bool repeatable = c.semantics == Semantics::kRepeatable ||
+                          (c.semantics == Semantics::kByKey && c.group == Group::kAll);
+  if (!repeatable && entry->MayHaveRun()) {  // a defer says that nothing happened; this can't
+    Answer(id, entry, {});
+  } else {
+    Answer(id, entry,
+           {.kind = FinalAnswer::Kind::kDeferred,
+            .retry_after_s = std::min(a.retry_after_s, settings_.max_retry_after_s)});
+  }
+  Post([this, id] { Forget(id); });
+}
+
+void Planner::Do(const decksail::Fail& a) {
+  EnvelopeId id = 0;
+  Entry* entry = Find(a.id, &id);
+  if (entry == nullptr || entry->answered) return;
+  Answer(id, entry, {});
+  Post([this, id] { Forget(id); });
+}
+
+void Planner::Do(const decksail::CancelAttempt& a) {
+  EnvelopeId id = 0;
+  Entry* entry = Find(a.id, &id);
+  if (entry == nullptr || static_cast<std::size_t>(a.attempt) >= entry->attempts.size()) return;
+  if (!entry->attempts[static_cast<std::size_t>(a.attempt)].open) return;
+  if (ForwarderPort* port = PortOf(id)) port->Cancel(id, a.attempt);
+  End(id, entry, static_cast<std::size_t>(a.attempt), {.verdict = Verdict::kCalledOff});
+}
+
+void Planner::Do(const decksail::SetTimer& a) {
+  deadlines_->At(hooks_.now() + a.after_s, [this, mark = a.mark] {
+    Post([this, mark] { Deliver(decksail::TimerFired{mark}); });
+  });
+}
+
+void Planner::Do(const decksail::Probe& a) {
+  counters_->probes += 1;
+  const auto it = next_hops_.find(a.worker);
+  if (it != next_hops_.end() && !forwarders_.empty()) {
+    const auto owner = forwarders_.find(it->second.forwarder);
+    if (owner != forwarders_.end()) return owner->second->Probe(a.worker);
+    if (!it->second.local) return forwarders_.begin()->second->Probe(a.worker);
+  }
+  Probed(a.worker, {.verdict = Verdict::kNoConnection});
+}
+
+void Planner::Do(const decksail::TellPeer& a) {
+  counters_->peers_out += 1;
+  if (a.body.size() <= 256) hooks_.tell_peer(a.whom, a.body);
+}
+void Planner::Do(const decksail::Subscribe& a) { hooks_.subscribe(a.enable); }
+void Planner::Do(const decksail::FetchList&) { hooks_.fetch_list(); }
+void Planner::Do(const decksail::Log& a) { hooks_.log(a.line); }
+
+void Planner::Answer(EnvelopeId id, Entry* entry, FinalAnswer answer) {
+  entry->answered = true;
+  deadlines_->Drop(&entry->expiry);
+  switch (answer.kind) {
+    case FinalAnswer::Kind::kServed: counters_->served += 1; break;
+    case FinalAnswer::Kind::kDeferred: counters_->deferred += 1; break;
+    case FinalAnswer::Kind::kFailed: counters_->failed += 1; break;
+  }
+  if (ForwarderPort* port = PortOf(id)) port->Answer(id, answer);
+}
+
+void Planner::Expire(EnvelopeId id) {
+  Entry* entry = Find(id);
+  if (entry == nullptr || entry->answered) return;
+  for (std::size_t i = 0; i < entry->attempts.size(); ++i) {
+    if (!entry->attempts[i].open) continue;
+    if (ForwarderPort* port = PortOf(id)) port->Cancel(id, static_cast<int>(i));
+    End(id, entry, i, {.verdict = Verdict::kNoAnswer});
+    entry = Find(id);
+    if (entry == nullptr) return;
+  }
+  if (entry->answered) return;
+  // The module held it without an attempt (it still waited for probes): the ledger answers.
+  const bool may_have_run = entry->MayHaveRun();
+  Answer(id, entry,
+         {.kind = may_have_run ? FinalAnswer::Kind::kFailed : FinalAnswer::Kind::kDeferred});
+  Post([this, id] {
+    const std::string name = std::to_string(id);
+    Deliver(decksail::JobGone{name});
+    Forget(id);
+  });
+}
+
+void Planner::Forget(EnvelopeId id) {
+  const Entry* entry = Find(id);
+  if (entry == nullptr || !entry->answered) return;
+  for (const Attempt& a : entry->attempts) {
+    if (a.open) return;
+  }
+  ledger_.erase(id);
+}
+
+}  // namespace millethollow
--- /dev/null
+++ b/src/core/planner.h
@@ -0,0 +1,132 @@
+// The planner: owns the decision module, maps events and actions, and keeps the ledger that gives
+// each envelope exactly one final answer. Its checks are a last line; policy is the module's.
+#ifndef MILLETHOLLOW_CORE_PLANNER_H_
+#define MILLETHOLLOW_CORE_PLANNER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/deadlines.h"
+#include "core/envelope.h"
+#include "core/planner_link.h"
+#include "decksail/balancer.h"
+
+namespace millethollow {
+
+class Planner {
+ public:
+  // The ways out that are not forwarders.
+  struct Hooks {
+    std::function<double()> now;
+    std::function<void(bool)> subscribe = [](bool) {};
+    std::function<void()> fetch_list = [] {};
+    std::function<void(int, const std::string&)> tell_peer = [](int, const std::string&) {};
+    std::function<void(const std::string&)> log = [](const std::string&) {};
+  };
+
+  Planner(const decksail::Settings& settings, std::uint64_t seed, Deadlines* deadlines, Hooks hooks,
+          Counters* counters);
+
+  // Tells the module that it lives and what it last knew. Call once, before anything else.
+  void Start(const std::vector<decksail::Member>& known);
+  // A forwarder takes part from now on; its envelopes carry the number returned.
+  std::uint64_t AddForwarder(ForwarderPort* port);
+  // The forwarder is gone, and with it all of its senders and connections.
+  void ForwarderLost(std::uint64_t forwarder);
+
+  void Taken(const Envelope& envelope);
+  void SenderGone(EnvelopeId id);
+  void Began(EnvelopeId id, int attempt);
+  void Ended(EnvelopeId id, int attempt, const Outcome& outcome);
+  void Probed(const std::string& next_hop, const Outcome& outcome);
+  void LocalNextHop(std::uint64_t forwarder, const decksail::Member& member);
+  void ListKnown(decksail::ListKind kind, const std::vector<decksail::Member>& members);
+  void PeerSaid(int sender, const std::string& body);
+
+  std::size_t open_envelopes() const { return ledger_.size(); }
+  const decksail::Settings& settings() const { return settings_; }
+
+ private:
+  struct Attempt {
+    std::string next_hop;
+    double sent_at = 0;
+    bool open = true, may_have_run = true;
+  };
+  struct Entry {
+    int cls = 0;
+    bool answered = false;
+    std::vector<Attempt> attempts;
+    Deadlines::Ticket expiry = Deadlines::kNone;
+    bool MayHaveRun() const;
+  };
+  struct NextHop {
+    decksail::Member member;
+    double drain_told_at = -1;      // when it was first told to drain or be gone; -1: in service
+    std::uint64_t forwarder = 0;    // owner, for one that connects by itself
+    bool local = false;
+  };
+
+  void Post(std::function<void()> event);
+  void Deliver(const decksail::Event& event);
+  void Do(const decksail::Send& a);
+  void Do(const decksail::Refuse& a);
+  void Do(const decksail::Fail& a);
+  void Do(const decksail::CancelAttempt& a);
+  void Do(const decksail::SetTimer& a);
+  void Do(const decksail::Probe& a);
+  void Do(const decksail::TellPeer& a);
+  void Do(const decksail::Subscribe& a);
+  void Do(const decksail::FetchList& a);
+  void Do(const decksail::Log& a);
+
+  Entry* Find(EnvelopeId id);
+  Entry* Find(const std::string& name, EnvelopeId* id);
+  ForwarderPort* PortOf(EnvelopeId id);
+  const char* WhyNot(const Entry& entry, EnvelopeId id, const std::string& next_hop) const;
+  void End(EnvelopeId id, Entry* entry, std::size_t attempt, const Outcome& outcome);
+  void Answer(EnvelopeId id, Entry* entry, FinalAnswer answer);
+  void Expire(EnvelopeId id);
+  void Forget(EnvelopeId id);
+  void Note(const decksail::Member& member, bool local, std::uint64_t forwarder);
+
+  decksail::Settings settings_;
+  decksail::Balancer balancer_;
+  Deadlines* deadlines_;
+  Hooks hooks_;
+  Counters* counters_;
+  std::map<std::uint64_t, ForwarderPort*> forwarders_;
+  std::uint64_t next_forwarder_ = 0;
+  std::unordered_map<EnvelopeId, Entry> ledger_;
+  std::map<std::string, NextHop> next_hops_;
+  std::deque<std::function<void()>> queue_;
+  bool running_ = false;
+};
+
+// The link for a forwarder in the planner's own process.
+class LocalLink final : public PlannerLink {
+ public:
+  LocalLink(Planner* planner, std::uint64_t forwarder) : planner_(planner), me_(forwarder) {}
+  void Taken(const Envelope& envelope) override { planner_->Taken(envelope); }
+  void SenderGone(EnvelopeId id) override { planner_->SenderGone(id); }
+  void Began(EnvelopeId id, int attempt) override { planner_->Began(id, attempt); }
+  void Ended(EnvelopeId id, int attempt, const Outcome& o) override {
+    planner_->Ended(id, attempt, o);
+  }
+  void Probed(const std::string& next_hop, const Outcome& o) override {
+    planner_->Probed(next_hop, o);
+  }
+  void NextHopChanged(const decksail::Member& m) override { planner_->LocalNextHop(me_, m); }
+
+ private:
+  Planner* planner_;
+  std::uint64_t me_;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_CORE_PLANNER_H_
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,42 @@
+// Logging: iostreams behind a level filter.
+#ifndef MILLETHOLLOW_LOG_H_
+#define MILLETHOLLOW_LOG_H_
+
+#include <cstdint>
+#include <iostream>
+#include <sstream>
+
+namespace millethollow {
+
+enum class Level : std::uint8_t { kError, kWarn, kInfo, kDebug };
+
+inline Level& LogLevel() {
+  static Level level = Level::kInfo;
+  return level;
+}
+
+// One line, written when it goes out of scope: LogLine(Level::kInfo) << "...".
+class LogLine {
+ public:
+  explicit LogLine(Level level) : on_(level <= LogLevel()) {
+    if (on_) text_ << "EWID"[static_cast<int>(level)] << ' ';
+  }
+  ~LogLine() {
+    if (on_) std::clog << text_.str() << std::endl;
+  }
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+  template <typename T>
+  LogLine& operator<<(const T& value) {
+    if (on_) text_ << value;
+    return *this;
+  }
+
+ private:
+  bool on_;
+  std::ostringstream text_;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_LOG_H_
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,113 @@
+#include "net/connection.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+#include "log.h"
+
+namespace millethollow {
+namespace {
+
+// No reader needs more at once than one message of the largest size; the kernel holds the rest back.
+constexpr std::size_t kMostBuffered = 128 * 1024;
+
+}  // namespace
+
+std::optional<sockaddr_in> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+  if (error != std::errc() || at != end || port > 65535) return std::nullopt;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+std::string AddressText(const sockaddr_in& address) {
+  char text[INET_ADDRSTRLEN] = "?";
+  inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+void Connection::Attach(evutil_socket_t fd) {
+  began_ = loop_->Now();
+  // Deferred callbacks: nothing that we do to a connection calls back before we return.
+  bev_.reset(
+      bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->OnRead(); },
+      [](bufferevent*, void* self) { static_cast<Connection*>(self)->OnDrained(); },
+      [](bufferevent*, short what, void* arg) {
+        auto* self = static_cast<Connection*>(arg);
+        if (self->closed()) return;
+        if ((what & BEV_EVENT_CONNECTED) != 0) return self->OnConnected();
+        self->OnEnd((what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
+      },
+      this);
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kMostBuffered);
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+}
+
+void Connection::Adopt(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  Attach(fd);
+}
+
+bool Connection::Connect(const sockaddr_in& address) {
+  const evutil_socket_t fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  Adopt(fd);
+  return bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&address),
+                                    sizeof address) == 0;
+}
+
+void Connection::Write(std::string_view bytes) {
+  if (bev_ == nullptr) return;
+  out_ += bytes.size();
+  bufferevent_write(bev_.get(), bytes.data(), bytes.size());
+}
+
+bool Connection::Drained() const {
+  return bev_ == nullptr || evbuffer_get_length(bufferevent_get_output(bev_.get())) == 0;
+}
+
+std::size_t Connection::Available() const {
+  return bev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_input(bev_.get()));
+}
+
+std::string Connection::Peek(std::size_t most) const {
+  std::string bytes(std::min(most, Available()), '\0');
+  if (!bytes.empty()) {
+    evbuffer_copyout(bufferevent_get_input(bev_.get()), bytes.data(), bytes.size());
+  }
+  return bytes;
+}
+
+void Connection::Consume(std::size_t n) {
+  in_ += n;
+  evbuffer_drain(bufferevent_get_input(bev_.get()), n);
+}
+
+void Connection::EndSending() {
+  if (bev_ != nullptr) shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+}
+
+void Connection::Close(const char* reason) {
+  if (bev_ == nullptr) return;
+  bev_.reset();
+  LogLine(Level::kInfo) << what_ << " end reason=" << reason << " in=" << in_ << " out=" << out_
+                        << " s=" << loop_->Now() - began_;
+}
+
+}  // namespace millethollow
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,62 @@
+// A connection as an object with callbacks, over a libevent bufferevent.
+#ifndef MILLETHOLLOW_NET_CONNECTION_H_
+#define MILLETHOLLOW_NET_CONNECTION_H_
+
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/loop.h"
+
+namespace millethollow {
+
+std::optional<sockaddr_in> ParseAddress(std::string_view text);  // IPv4 address:port
+std::string AddressText(const sockaddr_in& address);
+
+struct BufferFree {
+  void operator()(bufferevent* b) const { bufferevent_free(b); }
+};
+
+class Connection {
+ public:
+  virtual ~Connection() = default;
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Write(std::string_view bytes);
+  // True once every byte written so far has gone to the kernel.
+  bool Drained() const;
+  std::string Peek(std::size_t most) const;  // of what has come in
+  void Consume(std::size_t n);
+  std::size_t Available() const;
+  bool closed() const { return bev_ == nullptr; }
+  // Ends the connection with its one log line. The object lives on until its owner drops it.
+  void Close(const char* reason);
+
+ protected:
+  Connection(Loop* loop, const char* what) : loop_(loop), what_(what) {}
+  void Adopt(evutil_socket_t fd);                 // an accepted socket
+  bool Connect(const sockaddr_in& address);       // false if it fails at once
+  void EndSending();  // half-closes: the peer can still be read
+  virtual void OnConnected() {}
+  virtual void OnRead() = 0;
+  virtual void OnDrained() {}
+  virtual void OnEnd(const char* reason) = 0;  // the peer ended or broke it
+
+  Loop* loop_;
+
+ private:
+  void Attach(evutil_socket_t fd);
+  const char* what_;
+  std::unique_ptr<bufferevent, BufferFree> bev_;
+  std::size_t in_ = 0, out_ = 0;
+  double began_ = 0;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_NET_CONNECTION_H_
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,230 @@
+#include "net/discovery.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "log.h"
+#include "net/connection.h"
+#include "net/http/parser.h"
+
+namespace millethollow {
+
+using decksail::ListKind;
+using decksail::Readiness;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kMostList = 4 * 1024 * 1024;
+constexpr double kConnectS = 1.0;
+constexpr double kCallS = 4.0;     // past its own wait, a call is given up after this
+constexpr double kMostWaitS = 20;  // of one watch
+
+int IndexOf(const std::vector<std::string>& names, const Json& entry, const char* field) {
+  const auto it = entry.find(field);
+  if (it == entry.end()) return 0;
+  if (it->is_number_integer()) return it->get<int>();
+  if (!it->is_string()) return 0;
+  const auto at = std::find(names.begin(), names.end(), it->get_ref<const std::string&>());
+  return at == names.end() ? 0 : static_cast<int>(at - names.begin());
+}
+
+double Number(const Json& entry, const char* field, double otherwise) {
+  const auto it = entry.find(field);
+  return it != entry.end() && it->is_number() ? it->get<double>() : otherwise;
+}
+
+}  // namespace
+
+std::vector<decksail::Member> MemberList::Members() const {
+  std::vector<decksail::Member> members;
+  for (const ListEntry& e : entries) members.push_back(e.member);
+  return members;
+}
+
+bool ReadMemberList(std::string_view text, const std::vector<std::string>& zones,
+                    const std::vector<std::string>& kinds, MemberList* list, std::string* why) {
+  const Json object = Json::parse(text, nullptr, false);
+  if (!object.is_object()) return *why = "the list is not a JSON object", false;
+  const auto servers = object.find("servers");
+  if (servers == object.end() || !servers->is_array()) {
+    return *why = "the list has no array 'servers'", false;
+  }
+  list->version = static_cast<long long>(Number(object, "version", 0));
+  const auto full = object.find("full");
+  list->full = full != object.end() && full->is_boolean() && full->get<bool>();
+  for (const Json& s : *servers) {
+    if (!s.is_object() || !s.contains("id") || !s["id"].is_string()) continue;
+    ListEntry entry;
+    entry.member.worker = s["id"].get<std::string>();
+    if (s.contains("addr") && s["addr"].is_string()) entry.address = s["addr"].get<std::string>();
+    const std::string state = s.contains("state") && s["state"].is_string()
+                                  ? s["state"].get<std::string>()
+                                  : std::string("in_service");
+    // An unknown state is taken as draining: nothing new goes where we do not know better.
+    entry.member.readiness = state == "in_service"   ? Readiness::kReady
+                             : state == "terminated" ? Readiness::kGone
+                                                     : Readiness::kDraining;
+    entry.member.zone = IndexOf(zones, s, "zone");
+    entry.member.kind = IndexOf(kinds, s, "kind");
+    entry.member.cell = static_cast<int>(Number(s, "cell", 0));
+    entry.member.capacity = Number(s, "weight", 1.0);
+    entry.member.born_s = Number(s, "started_ms", 0) / 1000;  // the loop's clock is Unix time
+    list->entries.push_back(std::move(entry));
+  }
+  return true;
+}
+
+// One connection to discovery, with one call after the other on it.
+class DiscoveryCall final : public Connection {
+ public:
+  DiscoveryCall(Discovery* owner, Loop* loop, bool whole)
+      : Connection(loop, "discovery"), owner_(owner), whole_(whole) {}
+  ~DiscoveryCall() override { loop_->deadlines().Drop(&limit_); }
+
+  bool Open(const std::string& address) {
+    const auto parsed = ParseAddress(address);
+    return parsed && Connect(*parsed);
+  }
+  void Ask(const std::string& target, double limit_s) {
+    parser_.Reset();
+    busy_ = true;
+    Write("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
+    loop_->deadlines().Drop(&limit_);
+    limit_ = loop_->deadlines().At(loop_->Now() + limit_s, [this] {
+      limit_ = Deadlines::kNone;
+      owner_->Failed(this, "timeout", whole_);
+    });
+  }
+  void Finish(const char* reason) { Close(reason); }
+
+ private:
+  void OnRead() override {
+    while (!closed() && !parser_.done()) {
+      const std::string bytes = Peek(64 * 1024);
+      if (bytes.empty()) return;
+      if (!busy_) return owner_->Failed(this, "unasked-data", whole_);
+      Consume(parser_.Feed(bytes));
+      if (parser_.error() != 0) return owner_->Failed(this, "nonsense", whole_);
+    }
+    if (!closed()) Complete();
+  }
+  void Complete() {
+    busy_ = false;
+    loop_->deadlines().Drop(&limit_);
+    const bool keep = parser_.head().keep_alive;
+    const std::string body = parser_.TakeBody();
+    const int status = parser_.head().status;
+    if (!keep) Close("answered-last");
+    owner_->Answered(this, status, body, whole_);
+  }
+  void OnEnd(const char* reason) override {
+    if (busy_) {
+      parser_.EndOfInput();
+      if (parser_.done()) return Complete();
+      return owner_->Failed(this, reason, whole_);
+    }
+    Close(reason);
+  }
+
+  Discovery* owner_;
+  bool whole_, busy_ = false;
+  http::Parser parser_{http::Parser::Side::kResponse, {.head = 16 * 1024, .body = kMostList}};
+  Deadlines::Ticket limit_ = Deadlines::kNone;
+};
+
+Discovery::Discovery(Loop* loop, Options options, Hooks hooks)
+    : loop_(loop),
+      options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      jitter_(options_.seed | 1) {}
+Discovery::~Discovery() { loop_->deadlines().Drop(&retry_); }
+
+void Discovery::Subscribe(bool enable) {
+  if (stopped_) return;
+  if (!enable) {
+    watching_ = false;
+    if (watch_ != nullptr) Drop(watch_.get());
+    return;
+  }
+  if (watching_) return;  // the watch is still out: what it has to tell will come
+  watching_ = true;
+  loop_->deadlines().Drop(&retry_);
+  // The first call does not wait: it says what was missed, and that discovery is there.
+  Ask(false, 0);
+}
+
+void Discovery::Fetch() {
+  if (!stopped_ && fetch_ == nullptr) Ask(true, 0);
+}
+
+void Discovery::Stop() {
+  stopped_ = true;
+  loop_->deadlines().Drop(&retry_);
+  if (watch_ != nullptr) Drop(watch_.get());
+  if (fetch_ != nullptr) Drop(fetch_.get());
+}
+
+void Discovery::Ask(bool whole, double wait_s) {
+  auto& call = whole ? fetch_ : watch_;
+  if (call == nullptr || call->closed()) {
+    if (call != nullptr) Drop(call.get());
+    call = std::make_unique<DiscoveryCall>(this, loop_, whole);
+    if (!call->Open(options_.address)) return Failed(call.get(), "no-connection", whole);
+  }
+  const auto wait_ms = static_cast<long long>(wait_s * 1000);
+  call->Ask(whole ? "/catalog/members"
+                  : "/catalog/members?after=" + std::to_string(version_) +
+                        "&wait_ms=" + std::to_string(wait_ms),
+            wait_s + kCallS);
+}
+
+void Discovery::Answered(DiscoveryCall* call, int status, const std::string& body, bool whole) {
+  MemberList list;
+  std::string why;
+  if (status != 200 || !ReadMemberList(body, options_.zones, options_.kinds, &list, &why)) {
+    return Failed(call, status != 200 ? "status" : why.c_str(), whole);
+  }
+  failures_ = 0;
+  if (whole) {
+    Drop(call);
+  } else if (watching_) {
+    // At once, on the same connection: a later call would begin a new watch.
+    if (list.version > 0) version_ = list.version;
+    Ask(false, std::min(kMostWaitS, std::max(1.0, options_.ask_within_s * 0.8)));
+  }
+  if (list.version > 0) version_ = std::max(version_, list.version);
+  hooks_.known(list.full ? ListKind::kReplace : ListKind::kUpdate, list);
+}
+
+void Discovery::Failed(DiscoveryCall* call, const char* reason, bool whole) {
+  LogLine(Level::kWarn) << "discovery call failed: " << reason;
+  Drop(call);
+  if (!whole) {
+    watching_ = false;
+    failures_ = std::min(failures_ + 1, 5);
+    // The module asks again in its own time; should it not, we do, later each time, and always
+    // within the time that the list may be left unasked.
+    jitter_ = jitter_ * 6364136223846793005ULL + 1442695040888963407ULL;
+    const double unit = static_cast<double>(jitter_ >> 40) / static_cast<double>(1 << 24);
+    const double most = 0.4 * options_.ask_within_s;
+    const double wait = std::min(most, 0.5 * (1 << failures_)) * (0.75 + 0.5 * unit);
+    loop_->deadlines().Drop(&retry_);
+    retry_ = loop_->deadlines().At(loop_->Now() + wait + 1.0, [this] {
+      retry_ = Deadlines::kNone;
+      Subscribe(true);
+    });
+  }
+  hooks_.unavailable();
+}
+
+void Discovery::Drop(DiscoveryCall* call) {
+  auto& slot = watch_.get() == call ? watch_ : fetch_;
+  if (slot.get() != call) return;
+  call->Finish("done");
+  // Its callback may be on the stack: destroyed at the turn's end.
+  std::shared_ptr<DiscoveryCall> old(std::move(slot));
+  loop_->Later([old] {});
+}
+
+}  // namespace millethollow
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,75 @@
+// The client of discovery: fetches and watches the list, and turns it into members.
+#ifndef MILLETHOLLOW_NET_DISCOVERY_H_
+#define MILLETHOLLOW_NET_DISCOVERY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decksail/balancer.h"
+#include "net/loop.h"
+
+namespace millethollow {
+
+struct ListEntry {
+  decksail::Member member;
+  std::string address;
+};
+
+struct MemberList {
+  long long version = 0;
+  bool full = false;
+  std::vector<ListEntry> entries;
+  std::vector<decksail::Member> Members() const;
+};
+
+// Reads a list in discovery's form. False, with `why`, where the whole is unusable; single bad
+// entries are left out.
+bool ReadMemberList(std::string_view text, const std::vector<std::string>& zones,
+                    const std::vector<std::string>& kinds, MemberList* list, std::string* why);
+
+class DiscoveryCall;
+
+class Discovery {
+ public:
+  struct Options {
+    std::string address;
+    double ask_within_s = 10;
+    std::vector<std::string> zones, kinds;
+    std::uint64_t seed = 0;
+  };
+  struct Hooks {
+    std::function<void(decksail::ListKind, const MemberList&)> known;
+    std::function<void()> unavailable;
+  };
+  Discovery(Loop* loop, Options options, Hooks hooks);
+  ~Discovery();
+
+  void SetVersion(long long version) { version_ = version; }
+  void Subscribe(bool enable);
+  void Fetch();
+  void Stop();
+
+ private:
+  friend class DiscoveryCall;
+  void Ask(bool whole, double wait_s);
+  void Answered(DiscoveryCall* call, int status, const std::string& body, bool whole);
+  void Failed(DiscoveryCall* call, const char* reason, bool whole);
+  void Drop(DiscoveryCall* call);
+
+  Loop* loop_;
+  Options options_;
+  Hooks hooks_;
+  std::unique_ptr<DiscoveryCall> watch_, fetch_;
+  long long version_ = 0;
+  bool watching_ = false, stopped_ = false;
+  int failures_ = 0;
+  std::uint64_t jitter_ = 0;
+  Deadlines::Ticket retry_ = Deadlines::kNone;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_NET_DISCOVERY_H_
--- /dev/null
+++ b/src/net/http/next_hop_pool.cpp
@@ -0,0 +1,370 @@
+#include "net/http/next_hop_pool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "log.h"
+
+namespace millethollow::http {
+namespace {
+
+using Json = nlohmann::json;
+constexpr std::size_t kMostAnswer = 512 * 1024;  // of one next hop's whole answer
+constexpr double kEndS = 1.0;                    // from an outcome to the end of its answer
+constexpr double kRetireShare = 0.6;             // of the idle time after which it closes
+
+}  // namespace
+
+void ReadReport(std::string_view text, const std::vector<std::string>& columns, Outcome* outcome) {
+  const auto put = [&](std::string_view name, double value) {
+    for (std::size_t i = 0; i < columns.size() && i < 4; ++i) {
+      if (columns[i] != name || !std::isfinite(value)) continue;
+      outcome->report[i] = value;
+      outcome->has_report = true;
+    }
+  };
+  while (!text.empty() && std::string_view(" \r\n\t").find(text.back()) != std::string_view::npos) {
+    text.remove_suffix(1);
+  }
+  if (text.starts_with('{')) {
+    const Json object = Json::parse(text, nullptr, false);
+    if (!object.is_object()) return;
+    for (const auto& [name, value] : object.items()) {
+      if (value.is_number()) put(name, value.get<double>());
+    }
+    return;
+  }
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    std::string_view part = text.substr(0, comma);
+    while (part.starts_with(' ')) part.remove_prefix(1);
+    const std::size_t equals = part.find('=');
+    double value = 0;
+    if (equals != std::string_view::npos) {
+      const char* end = part.data() + part.size();
+      const auto [at, error] = std::from_chars(part.data() + equals + 1, end, value);
+      if (error == std::errc() && at == end) put(part.substr(0, equals), value);
+    }
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+}
+
+JobLine ReadJobLine(std::string_view line, std::string_view id) {
+  JobLine read;
+  const Json object = Json::parse(line, nullptr, false);
+  if (!object.is_object()) return read;
+  // Another job's line on our connection: whatever it says, it is not ours to pass on.
+  const auto own = object.find("id");
+  if (own == object.end() || !own->is_string() || own->get_ref<const std::string&>() != id) {
+    return read;
+  }
+  const auto state = object.find("state");
+  if (state == object.end() || !state->is_string()) return read;
+  const std::string& name = state->get_ref<const std::string&>();
+  using What = JobLine::What;
+  if (name == "done") {
+    const auto result = object.find("result");
+    if (result == object.end()) return read;
+    read.result = result->is_string() ? result->get<std::string>() : result->dump();
+    read.what = What::kServed;
+  } else {
+    read.what = name == "started"    ? What::kStarted
+                : name == "running"  ? What::kRunning
+                : name == "failed"   ? What::kError
+                : name == "returned" ? What::kTurnedAway
+                : name == "lost"     ? What::kLost
+                                     : What::kNonsense;
+  }
+  return read;
+}
+
+class HopConnection final : public Connection {
+ public:
+  HopConnection(NextHopPool* pool, Loop* loop, std::string next_hop)
+      : Connection(loop, "next-hop"), pool_(pool), next_hop_(std::move(next_hop)) {}
+  ~HopConnection() override { loop_->deadlines().Drop(&limit_); }
+
+  const std::string& next_hop() const { return next_hop_; }
+  double idle_since() const { return idle_since_; }
+
+  bool Open(const sockaddr_in& address) {
+    limit_ = loop_->deadlines().At(loop_->Now() + pool_->options_.connect_timeout_s, [this] {
+      limit_ = Deadlines::kNone;
+      Break("connect-timeout");
+    });
+    return Connect(address);
+  }
+
+  void SendEnvelope(const Held& held, int attempt) {
+    const Envelope& e = held.envelope;
+    Begin();
+    id_ = e.id;
+    attempt_ = attempt;
+    wire_id_ = e.wire_id;
+    const double left_ms = std::max(1.0, std::floor((e.expires_at - sent_at_) * 1000));
+    Write("POST " + held.target + " HTTP/1.1\r\nHost: " + next_hop_ + "\r\nRequest-Id: " +
+          e.wire_id + "\r\n" + (e.key.empty() ? "" : "Idempotency-Key: " + e.key + "\r\n") +
+          "Request-Timeout-Ms: " + std::to_string(static_cast<long long>(left_ms)) + "\r\n" +
+          held.pass_on + "Content-Length: " + std::to_string(e.body.size()) + "\r\n\r\n" + e.body);
+  }
+
+  void SendProbe() {
+    Begin();
+    id_ = 0;
+    Write("GET /_load HTTP/1.1\r\nHost: " + next_hop_ + "\r\n\r\n");
+    probe_limit_ = loop_->deadlines().At(loop_->Now() + pool_->options_.probe_timeout_s, [this] {
+      probe_limit_ = Deadlines::kNone;
+      Report({.verdict = Verdict::kNoAnswer});
+      Finish("probe-timeout");
+    });
+  }
+
+  // Its turn is over, or its address has changed.
+  void Finish(const char* reason) {
+    if (closed()) return;
+    loop_->deadlines().Drop(&limit_);
+    loop_->deadlines().Drop(&probe_limit_);
+    Close(reason);
+    pool_->Drop(this);
+  }
+
+  void Rest() {
+    idle_since_ = loop_->Now();
+    const double idle_s = pool_->options_.idle_s * kRetireShare;
+    limit_ = loop_->deadlines().At(idle_since_ + idle_s, [this] {
+      limit_ = Deadlines::kNone;
+      Finish("retired");
+    });
+  }
+
+  EnvelopeId id() const { return id_; }
+  int attempt() const { return attempt_; }
+  void Forget() { reported_ = true; }
+
+ private:
+  void Begin() {
+    if (connected_) loop_->deadlines().Drop(&limit_);
+    busy_ = true;
+    reported_ = false;
+    sent_at_ = loop_->Now();
+    line_.clear();
+    parser_.Reset();
+  }
+
+  void OnConnected() override {
+    connected_ = true;
+    loop_->deadlines().Drop(&limit_);
+    if (!busy_) Rest();
+  }
+
+  void OnRead() override {
+    if (!busy_) return Finish("unasked-data");
+    while (!closed() && !parser_.done()) {
+      const std::string bytes = Peek(16 * 1024);
+      if (bytes.empty()) return;
+      Consume(parser_.Feed(bytes));
+      Digest();
+      if (closed()) return;
+      if (parser_.error() != 0) {
+        Report({.verdict = Verdict::kServerError});
+        return Finish("nonsense");
+      }
+    }
+    Complete();
+  }
+
+  // Reads the lines that have come so far: a 'started' counts at once, not with the answer's end.
+  void Digest() {
+    if (!parser_.head_done() || parser_.head().status != 200 || id_ == 0) return;
+    line_ += parser_.TakeBody();
+    std::size_t start = 0;
+    for (std::size_t end = line_.find('\n'); end != std::string::npos && !reported_;
+         end = line_.find('\n', start)) {
+      Line(std::string_view(line_).substr(start, end - start));
+      if (closed()) return;
+      start = end + 1;
+    }
+    line_.erase(0, start);
+  }
+
+  void Line(std::string_view text) {
+    if (text.find_first_not_of(" \r\t") == std::string_view::npos) return;
+    const JobLine line = ReadJobLine(text, wire_id_);
+    using What = JobLine::What;
+    switch (line.what) {
+      case What::kStarted: return pool_->forwarder_->AttemptBegan(id_, attempt_);
+      case What::kRunning: return;
+      case What::kServed: return Report({.verdict = Verdict::kServed}, line.result);
+      case What::kTurnedAway: return Report({.verdict = Verdict::kTurnedAway});
+      case What::kLost: return Report({.verdict = Verdict::kConnectionLost});
+      case What::kError:
+      case What::kNonsense: return Report({.verdict = Verdict::kServerError});
+    }
+  }
+
+  void Complete() {
+    const Head& head = parser_.head();
+    const bool keep = head.keep_alive && Available() == 0;
+    if (!reported_) {
+      Outcome outcome;
+      if (id_ == 0) {
+        outcome.verdict = head.status == 200 ? Verdict::kServed : Verdict::kTurnedAway;
+        if (head.status == 200) ReadReport(parser_.TakeBody(), pool_->options_.columns, &outcome);
+      } else if (head.status == 200) {
+        if (!line_.empty()) Line(std::exchange(line_, {}));  // a last line without its line end
+        if (closed()) return;
+        outcome.verdict = Verdict::kConnectionLost;  // it ended before a last line
+      } else {
+        const std::string* mark = head.Get("Not-Started");
+        const bool not_run = (head.status == 503 || head.status == 504) && mark && *mark == "1";
+        outcome.verdict = not_run ? Verdict::kTurnedAway : Verdict::kServerError;
+      }
+      if (const std::string* load = head.Get("Server-Load")) {
+        ReadReport(*load, pool_->options_.columns, &outcome);
+      }
+      Report(outcome);
+    }
+    if (closed()) return;
+    if (!keep) return Finish("answered-last");
+    busy_ = false;
+    loop_->deadlines().Drop(&limit_);
+    loop_->deadlines().Drop(&probe_limit_);
+    pool_->Release(this);
+  }
+
+  void Report(Outcome outcome, std::string result = {}) {
+    if (reported_) return;
+    reported_ = true;
+    outcome.latency_s = loop_->Now() - sent_at_;
+    if (id_ == 0) return pool_->forwarder_->ProbeEnded(next_hop_, outcome);
+    pool_->out_.erase({id_, attempt_});
+    if (!parser_.done()) {  // the end of the answer must still come, or the connection is no use
+      loop_->deadlines().Drop(&limit_);
+      limit_ = loop_->deadlines().At(loop_->Now() + kEndS, [this] {
+        limit_ = Deadlines::kNone;
+        Finish("unfinished");
+      });
+    }
+    pool_->forwarder_->AttemptEnded(id_, attempt_, outcome, std::move(result));
+  }
+
+  void OnEnd(const char* reason) override {
+    if (busy_ && connected_) {  // an answer without a length ends with its connection
+      while (Available() > 0 && !parser_.done() && parser_.error() == 0) {
+        Consume(parser_.Feed(Peek(16 * 1024)));
+        Digest();
+        if (closed()) return;
+      }
+      if (!parser_.done() && std::string_view(reason) == "peer-closed") {
+        parser_.EndOfInput();
+        if (parser_.done()) return Complete();
+      }
+    }
+    Break(reason);
+  }
+
+  void Break(const char* reason) {
+    // Never sent as a whole, never run; otherwise it may have.
+    const bool whole = connected_ && Drained();
+    if (busy_) {
+      Report({.verdict = whole ? Verdict::kConnectionLost : Verdict::kNoConnection});
+    }
+    Finish(connected_ ? reason : "no-connection");
+  }
+
+  NextHopPool* pool_;
+  std::string next_hop_, wire_id_, line_;
+  Parser parser_{Parser::Side::kResponse, {.head = 16 * 1024, .body = kMostAnswer}};
+  bool connected_ = false, busy_ = false, reported_ = true;
+  EnvelopeId id_ = 0;
+  int attempt_ = 0;
+  double sent_at_ = 0, idle_since_ = 0;
+  Deadlines::Ticket limit_ = Deadlines::kNone, probe_limit_ = Deadlines::kNone;
+};
+
+NextHopPool::NextHopPool(Forwarder* forwarder, Options options)
+    : forwarder_(forwarder), options_(std::move(options)) {}
+NextHopPool::~NextHopPool() = default;
+
+void NextHopPool::SetAddress(const std::string& next_hop, const std::string& address) {
+  Hop& hop = hops_[next_hop];
+  if (hop.address_text == address) return;
+  hop.address_text = address;
+  const auto parsed = ParseAddress(address);
+  hop.reachable = parsed.has_value();
+  if (parsed) hop.address = *parsed;
+  for (HopConnection* idle : std::vector<HopConnection*>(hop.idle)) idle->Finish("moved");
+}
+
+HopConnection* NextHopPool::Get(const std::string& next_hop) {
+  const auto it = hops_.find(next_hop);
+  if (it == hops_.end() || !it->second.reachable) return nullptr;
+  Hop& hop = it->second;
+  if (!hop.idle.empty()) {
+    HopConnection* last = hop.idle.back();
+    hop.idle.pop_back();
+    return last;
+  }
+  DescriptorBudget& budget = forwarder_->loop()->budget();
+  if (budget.next_hops >= budget.next_hops_most && !CloseOldestIdle()) return nullptr;
+  auto fresh = std::make_unique<HopConnection>(this, forwarder_->loop(), next_hop);
+  HopConnection* raw = fresh.get();
+  connections_.emplace(raw, std::move(fresh));
+  budget.next_hops += 1;
+  if (raw->Open(hop.address)) return raw;
+  raw->Finish("no-connection");
+  return nullptr;
+}
+
+bool NextHopPool::CloseOldestIdle() {
+  HopConnection* oldest = nullptr;
+  for (auto& [name, hop] : hops_) {
+    for (HopConnection* c : hop.idle) {
+      if (oldest == nullptr || c->idle_since() < oldest->idle_since()) oldest = c;
+    }
+  }
+  if (oldest != nullptr) oldest->Finish("made-room");
+  return oldest != nullptr;
+}
+
+void NextHopPool::Send(const Held& held, int attempt, const std::string& next_hop) {
+  HopConnection* connection = Get(next_hop);
+  if (connection == nullptr) {
+    return forwarder_->AttemptEnded(held.envelope.id, attempt,
+                                    {.verdict = Verdict::kNoConnection});
+  }
+  out_[{held.envelope.id, attempt}] = connection;
+  connection->SendEnvelope(held, attempt);
+}
+
+void NextHopPool::Probe(const std::string& next_hop) {
+  HopConnection* connection = Get(next_hop);
+  if (connection == nullptr) {
+    return forwarder_->ProbeEnded(next_hop, {.verdict = Verdict::kNoConnection});
+  }
+  connection->SendProbe();
+}
+
+void NextHopPool::Cancel(EnvelopeId id, int attempt) {
+  const auto it = out_.find({id, attempt});
+  if (it == out_.end()) return;
+  HopConnection* connection = it->second;
+  out_.erase(it);
+  connection->Forget();
+  connection->Finish("called-off");
+}
+
+void NextHopPool::Release(HopConnection* connection) {
+  hops_[connection->next_hop()].idle.push_back(connection);
+  connection->Rest();
+}
+
+void NextHopPool::Drop(HopConnection* connection) {
+  std::erase(hops_[connection->next_hop()].idle, connection);
+  forwarder_->loop()->budget().next_hops -= 1;
+  forwarder_->loop()->Later([this, connection] { connections_.erase(connection); });
+}
+
+}  // namespace millethollow::http
--- /dev/null
+++ b/src/net/http/next_hop_pool.h
@@ -0,0 +1,73 @@
+// Connections to HTTP next hops: one request at a time on each, the last used first.
+#ifndef MILLETHOLLOW_NET_HTTP_NEXT_HOP_POOL_H_
+#define MILLETHOLLOW_NET_HTTP_NEXT_HOP_POOL_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/connection.h"
+#include "net/forwarder.h"
+#include "net/http/parser.h"
+
+namespace millethollow::http {
+
+class HopConnection;
+
+class NextHopPool final : public NextHopDriver {
+ public:
+  struct Options {
+    double connect_timeout_s = 0.25;
+    double idle_s = 60;                // next hops close idle connections after this
+    double probe_timeout_s = 0.5;
+    std::vector<std::string> columns;  // names of the load report's values, in order
+  };
+  NextHopPool(Forwarder* forwarder, Options options);
+  ~NextHopPool() override;
+
+  // The transport map: where each next hop listens.
+  void SetAddress(const std::string& next_hop, const std::string& address);
+
+  bool Owns(const std::string& next_hop) const override { return hops_.contains(next_hop); }
+  void Send(const Held& held, int attempt, const std::string& next_hop) override;
+  void Cancel(EnvelopeId id, int attempt) override;
+  void Probe(const std::string& next_hop) override;
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  friend class HopConnection;
+  struct Hop {
+    std::string address_text;
+    sockaddr_in address{};
+    bool reachable = false;
+    std::vector<HopConnection*> idle;  // the last is the one used last
+  };
+  HopConnection* Get(const std::string& next_hop);
+  void Release(HopConnection* connection);
+  void Drop(HopConnection* connection);
+  bool CloseOldestIdle();
+
+  Forwarder* forwarder_;
+  Options options_;
+  std::map<std::string, Hop> hops_;
+  std::map<HopConnection*, std::unique_ptr<HopConnection>> connections_;
+  std::map<std::pair<EnvelopeId, int>, HopConnection*> out_;
+};
+
+// Reads name=value,... or a JSON object into `outcome`'s report, by the columns' names.
+void ReadReport(std::string_view text, const std::vector<std::string>& columns, Outcome* outcome);
+
+// What one line of a next hop's answer says about the attempt that carries `id`.
+struct JobLine {
+  enum class What : std::uint8_t { kNonsense, kStarted, kRunning, kServed, kError, kTurnedAway,
+                                   kLost };
+  What what = What::kNonsense;
+  std::string result;
+};
+JobLine ReadJobLine(std::string_view line, std::string_view id);
+
+}  // namespace millethollow::http
+
+#endif  // MILLETHOLLOW_NET_HTTP_NEXT_HOP_POOL_H_
--- /dev/null
+++ b/src/net/http/sender_front.cpp
@@ -0,0 +1,325 @@
+#include "net/http/sender_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+#include "log.h"
+
+namespace millethollow::http {
+namespace {
+
+constexpr double kReadS = 30;     // a request must be in within this of its first byte
+constexpr double kLingerS = 1.0;  // how long a sender may take to see why it was cut off
+constexpr std::size_t kMostId = 128;
+constexpr std::size_t kMostTimeoutMs = 3'600'000;
+
+bool Plain(std::string_view text) {
+  return !text.empty() && text.size() <= kMostId &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
+template <typename T>
+bool Digits(std::string_view text, T* value) {
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, *value);
+  return error == std::errc() && at == end && !text.empty();
+}
+
+// Calls `each(name, value)` for the parts of a=b,c=d (or a=b; c=d).
+template <typename Each>
+void Pairs(std::string_view text, char separator, Each each) {
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(separator), text.size());
+    std::string_view part = text.substr(0, end);
+    while (!part.empty() && part.front() == ' ') part.remove_prefix(1);
+    const std::size_t equals = part.find('=');
+    if (equals != std::string_view::npos) each(part.substr(0, equals), part.substr(equals + 1));
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+}
+
+const char* Reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 501: return "Not Implemented";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    case 505: return "HTTP Version Not Supported";
+    default: return "Unknown";
+  }
+}
+
+int IndexOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+// Headers that belong to one connection or that we write ourselves.
+bool OurOwn(std::string_view name) {
+  static constexpr std::string_view kNames[] = {
+      "Host", "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Expect",
+      "Content-Length", "Transfer-Encoding", "Request-Timeout-Ms", "Request-Id",
+      "Idempotency-Key"};
+  return std::any_of(std::begin(kNames), std::end(kNames),
+                     [name](std::string_view own) { return SameName(own, name); });
+}
+
+}  // namespace
+
+int ReadEnvelope(const Head& head, const Names& names, Held* held, double* timeout_s,
+                 std::string* why) {
+  const auto bad = [why](const char* text) {
+    *why = text;
+    return 400;
+  };
+  Envelope& e = held->envelope;
+  for (const char* name : {"Request-Id", "Request-Class", "Tenant", "Request-Timeout-Ms",
+                           "Idempotency-Key"}) {
+    if (head.Count(name) > 1) return bad("a header that counts came twice");
+  }
+  const std::string* id = head.Get("Request-Id");
+  if (id == nullptr || !Plain(*id)) return bad("Request-Id is missing or unreadable");
+  const std::string* cls = head.Get("Request-Class");
+  e.cls = cls == nullptr ? -1 : IndexOf(names.classes, *cls);
+  if (e.cls < 0) return bad("Request-Class is missing or unknown");
+  const std::string* tenant = head.Get("Tenant");
+  e.tenant = names.tenants.empty() ? 0 : tenant == nullptr ? -1 : IndexOf(names.tenants, *tenant);
+  if (e.tenant < 0) return bad("Tenant is missing or unknown");
+  const std::string* timeout = head.Get("Request-Timeout-Ms");
+  std::size_t ms = 0;
+  if (timeout == nullptr || !Digits(*timeout, &ms) || ms == 0 || ms > kMostTimeoutMs) {
+    return bad("Request-Timeout-Ms is missing or out of range");
+  }
+  const std::string* key = head.Get("Idempotency-Key");
+  if (key != nullptr && !Plain(*key)) return bad("Idempotency-Key is unreadable");
+  if (key == nullptr && names.keyed[static_cast<std::size_t>(e.cls)]) {
+    return bad("this class needs an Idempotency-Key");
+  }
+  *timeout_s = static_cast<double>(ms) / 1000;
+  e.wire_id = *id;
+  if (key != nullptr) e.key = *key;
+  if (const std::string* cookie = head.Get("Cookie")) {
+    Pairs(*cookie, ';', [&e](std::string_view name, std::string_view value) {
+      if (name == "k") e.affinity = value;
+    });
+  }
+  if (const std::string* retry = head.Get("Client-Retry")) e.retry = *retry == "1";
+  if (const std::string* hint = head.Get("Work-Hint")) Digits(*hint, &e.size_hint_s);
+  if (const std::string* info = head.Get("Request-Info")) {
+    Pairs(*info, ',', [&e](std::string_view name, std::string_view value) {
+      double number = 0;
+      if (!Digits(value, &number) || !std::isfinite(number) || number < 0) return;
+      if (name == "slots") e.slots = number;
+      if (name == "ram_units" || name == "memory") e.memory = number;
+      if (name == "size_hint_s" || name == "hint") e.size_hint_s = number;
+    });
+  }
+  held->target = head.target;
+  for (const auto& [name, value] : head.headers) {
+    if (!OurOwn(name)) held->pass_on.append(name).append(": ").append(value).append("\r\n");
+  }
+  return 0;
+}
+
+// One sender's connection: reads a request, hands it in, and writes its answer.
+class SenderConnection final : public Connection, public SenderSide {
+ public:
+  SenderConnection(SenderFront* front, Loop* loop, evutil_socket_t fd)
+      : Connection(loop, "sender"), front_(front) {
+    Adopt(fd);
+    idle_since_ = loop->Now();
+  }
+  ~SenderConnection() override { loop_->deadlines().Drop(&limit_); }
+
+  bool Idle() const { return state_ == State::kReading && parser_.idle() && Available() == 0; }
+  double idle_since() const { return idle_since_; }
+  void CloseNow(const char* reason) { Finish(reason); }
+
+  void Answer(const Held& held, const FinalAnswer& answer, const std::string& result) override {
+    envelope_ = 0;
+    if (closed()) return;
+    switch (answer.kind) {
+      case FinalAnswer::Kind::kServed: return Respond(200, result);
+      case FinalAnswer::Kind::kDeferred: {
+        std::string line;
+        if (answer.retry_after_s > 0) {
+          char text[48];
+          std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n", answer.retry_after_s);
+          line = text;
+        }
+        return Respond(503, "deferred\n", line);
+      }
+      case FinalAnswer::Kind::kFailed:
+        return Respond(held.envelope.expires_at <= loop_->Now() + 0.001 ? 504 : 502, "failed\n");
+    }
+  }
+
+ private:
+  enum class State : std::uint8_t { kReading, kWaiting, kClosing, kLingering };
+
+  void OnRead() override {
+    if (state_ == State::kLingering) return Consume(Available());
+    while (state_ == State::kReading && !closed()) {
+      const std::string bytes = Peek(16 * 1024);
+      if (bytes.empty()) return;
+      const bool fresh = parser_.idle();
+      Consume(parser_.Feed(bytes));
+      if (fresh && !parser_.idle()) {
+        limit_ = loop_->deadlines().At(loop_->Now() + kReadS, [this] {
+          limit_ = Deadlines::kNone;
+          Refuse(408, "the request took too long to come in");
+        });
+      }
+      if (parser_.error() != 0) return Refuse(parser_.error(), "not a readable request");
+      if (parser_.done()) {
+        Take();
+      } else if (parser_.head_done() && parser_.head().expects_continue && !continued_) {
+        continued_ = true;
+        Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    }
+  }
+
+  void Take() {
+    loop_->deadlines().Drop(&limit_);
+    continued_ = false;
+    const Head head = parser_.head();
+    Held held;
+    held.envelope.body = parser_.TakeBody();
+    parser_.Reset();
+    keep_ = head.keep_alive;
+    state_ = State::kWaiting;
+    const std::string path = head.target.substr(0, head.target.find('?'));
+    if (path == "/_health") {
+      if (head.method != "GET") return Respond(405, "", "Allow: GET\r\n");
+      const bool serving = front_->serving_ && !front_->stopping_;
+      return Respond(serving ? 200 : 503, serving ? "serving\n" : "not serving\n");
+    }
+    if (path != "/api") return Respond(404, "no such path\n");
+    if (head.method != "POST") return Respond(405, "", "Allow: POST\r\n");
+    double timeout_s = 0;
+    std::string why;
+    if (const int status = ReadEnvelope(head, front_->names_, &held, &timeout_s, &why)) {
+      front_->counters_->bad_input += 1;
+      return Respond(status, why + "\n");
+    }
+    held.envelope.expires_at = loop_->Now() + timeout_s;
+    envelope_ = front_->forwarder_->Take(std::move(held), this);
+    if (envelope_ == 0) Respond(503, "no planner\n", "Retry-After: 0.5\r\n");
+  }
+
+  // An answer to what cannot be read: the connection ends with it, but not before the sender can
+  // have read why. A close with bytes unread would reset the answer away.
+  void Refuse(int status, const char* why) {
+    front_->counters_->bad_input += 1;
+    keep_ = false;
+    linger_ = true;
+    Respond(status, std::string(why) + "\n");
+  }
+
+  void Respond(int status, const std::string& body, const std::string& headers = {}) {
+    const bool last = !keep_ || front_->stopping_;
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + Reason(status) + "\r\n" +
+                       headers + "Content-Length: " + std::to_string(body.size()) + "\r\n" +
+                       (last ? "Connection: close\r\n" : "") + "\r\n" + body;
+    Write(text);
+    state_ = last ? State::kClosing : State::kReading;
+    idle_since_ = loop_->Now();
+    // A request may have come in behind this one already.
+    if (!last && Available() > 0) {
+      loop_->Later([front = front_, this] {
+        if (front->senders_.contains(this)) OnRead();
+      });
+    }
+  }
+
+  void OnDrained() override {
+    if (state_ != State::kClosing) return;
+    if (!linger_) return Finish("answered-last");
+    state_ = State::kLingering;
+    EndSending();
+    Consume(Available());
+    loop_->deadlines().Drop(&limit_);
+    limit_ = loop_->deadlines().At(loop_->Now() + kLingerS, [this] {
+      limit_ = Deadlines::kNone;
+      Finish("bad-request");
+    });
+  }
+
+  void OnEnd(const char* reason) override {
+    Finish(state_ == State::kLingering  ? "bad-request"
+           : state_ == State::kWaiting  ? "sender-gone"
+           : state_ == State::kClosing  ? "gone-before-answer"
+                                        : reason);
+  }
+
+  void Finish(const char* reason) {
+    if (closed()) return;
+    loop_->deadlines().Drop(&limit_);
+    Close(reason);
+    if (envelope_ != 0) front_->forwarder_->Gone(std::exchange(envelope_, 0));
+    front_->Drop(this);
+  }
+
+  SenderFront* front_;
+  Parser parser_{Parser::Side::kRequest, {}};
+  State state_ = State::kReading;
+  bool keep_ = true, linger_ = false, continued_ = false;
+  EnvelopeId envelope_ = 0;
+  double idle_since_ = 0;
+  Deadlines::Ticket limit_ = Deadlines::kNone;
+};
+
+SenderFront::SenderFront(Forwarder* forwarder, Names names, Counters* counters)
+    : forwarder_(forwarder), names_(std::move(names)), counters_(counters) {}
+SenderFront::~SenderFront() = default;
+
+bool SenderFront::Listen(const std::string& address, std::string* why) {
+  return listener_.Open(
+      forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why);
+}
+
+void SenderFront::Accept(evutil_socket_t fd) {
+  DescriptorBudget& budget = forwarder_->loop()->budget();
+  auto sender = std::make_unique<SenderConnection>(this, forwarder_->loop(), fd);
+  SenderConnection* raw = sender.get();
+  senders_.emplace(raw, std::move(sender));
+  budget.senders += 1;
+  // With no descriptor left for another, the longest idle makes room; else the next must wait.
+  if (budget.senders >= budget.senders_most && !CloseOldestIdle()) listener_.Pause();
+}
+
+bool SenderFront::CloseOldestIdle() {
+  SenderConnection* oldest = nullptr;
+  for (const auto& [raw, sender] : senders_) {
+    if (raw->closed() || !raw->Idle()) continue;
+    if (oldest == nullptr || raw->idle_since() < oldest->idle_since()) oldest = raw;
+  }
+  if (oldest != nullptr) oldest->CloseNow("made-room");
+  return oldest != nullptr;
+}
+
+void SenderFront::Drop(SenderConnection* sender) {
+  Loop* loop = forwarder_->loop();
+  loop->budget().senders -= 1;
+  listener_.Resume();
+  loop->Later([this, sender] { senders_.erase(sender); });
+}
+
+void SenderFront::CloseIdle() {
+  listener_.Close();
+  for (const auto& [raw, sender] : senders_) {
+    if (!raw->closed() && raw->Idle()) raw->CloseNow("stopping");
+  }
+}
+
+}  // namespace millethollow::http
--- /dev/null
+++ b/src/net/http/sender_front.h
@@ -0,0 +1,59 @@
+// The platform's front: HTTP/1.1 sender side, kept thin.
+#ifndef MILLETHOLLOW_NET_HTTP_SENDER_FRONT_H_
+#define MILLETHOLLOW_NET_HTTP_SENDER_FRONT_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/connection.h"
+#include "net/forwarder.h"
+#include "net/http/parser.h"
+#include "net/listener.h"
+
+namespace millethollow::http {
+
+// Names of what a sender may ask for, in the settings' order.
+struct Names {
+  std::vector<std::string> classes, tenants;
+  std::vector<bool> keyed;  // by class: must carry an idempotency key
+};
+
+// Fills `held` from a whole request, apart from its expiry. Returns 0, or the status of its fault
+// with `why`.
+int ReadEnvelope(const Head& head, const Names& names, Held* held, double* timeout_s,
+                 std::string* why);
+
+class SenderConnection;
+
+class SenderFront {
+ public:
+  SenderFront(Forwarder* forwarder, Names names, Counters* counters);
+  ~SenderFront();
+  bool Listen(const std::string& address, std::string* why);
+  std::string address() const { return listener_.address(); }
+  void SetServing(bool serving) { serving_ = serving; }
+  // Goes on serving, and asks each sender to leave with its next answer.
+  void BeginStop() { stopping_ = true; }
+  // No new connections; idle ones are closed.
+  void CloseIdle();
+  std::size_t connections() const { return senders_.size(); }
+
+ private:
+  friend class SenderConnection;
+  void Accept(evutil_socket_t fd);
+  void Drop(SenderConnection* sender);
+  bool CloseOldestIdle();
+
+  Forwarder* forwarder_;
+  Names names_;
+  Counters* counters_;
+  Listener listener_;
+  std::map<SenderConnection*, std::unique_ptr<SenderConnection>> senders_;
+  bool serving_ = false, stopping_ = false;
+};
+
+}  // namespace millethollow::http
+
+#endif  // MILLETHOLLOW_NET_HTTP_SENDER_FRONT_H_
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,36 @@
+// A listening socket that can hold back accepting.
+#ifndef MILLETHOLLOW_NET_LISTENER_H_
+#define MILLETHOLLOW_NET_LISTENER_H_
+
+#include <event2/listener.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/loop.h"
+
+namespace millethollow {
+
+class Listener {
+ public:
+  using Accepted = std::function<void(evutil_socket_t)>;
+  bool Open(Loop* loop, const std::string& address, Accepted accepted, std::string* why);
+  void Pause() { if (listener_) evconnlistener_disable(listener_.get()); }
+  void Resume() { if (listener_) evconnlistener_enable(listener_.get()); }
+  void Close() { listener_.reset(); }
+  bool open() const { return listener_ != nullptr; }
+  std::string address() const;  // as bound: with the port that port 0 became
+
+ private:
+  struct Free {
+    void operator()(evconnlistener* l) const { evconnlistener_free(l); }
+  };
+  std::unique_ptr<evconnlistener, Free> listener_;
+  Accepted accepted_;
+  Loop* loop_ = nullptr;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_NET_LISTENER_H_
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,66 @@
+// The event loop: libevent, the one sorted structure of deadlines, and the descriptor budget.
+#ifndef MILLETHOLLOW_NET_LOOP_H_
+#define MILLETHOLLOW_NET_LOOP_H_
+
+#include <event2/event.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/deadlines.h"
+
+namespace millethollow {
+
+struct EventBaseFree {
+  void operator()(event_base* b) const { event_base_free(b); }
+};
+struct EventFree {
+  void operator()(event* e) const { event_free(e); }
+};
+using EventPtr = std::unique_ptr<event, EventFree>;
+
+// Who may hold how many sockets, under the one limit that the platform sets.
+struct DescriptorBudget {
+  std::size_t senders_most = 480, next_hops_most = 480;
+  std::size_t senders = 0, next_hops = 0;
+
+  static DescriptorBudget Of(std::size_t sockets) {
+    // The rest is for the listener, discovery, peers, standard streams, and sockets that wait for
+    // their accept or close.
+    const std::size_t free = sockets > 80 ? sockets - 64 : 16;
+    return {.senders_most = free / 2, .next_hops_most = free / 2};
+  }
+};
+
+class Loop {
+ public:
+  Loop();
+  event_base* base() { return base_.get(); }
+  Deadlines& deadlines() { return deadlines_; }
+  DescriptorBudget& budget() { return budget_; }
+
+  // Seconds since the epoch as of the start, carried on by the monotonic clock: never runs back,
+  // and the list's start times, which are Unix time, compare with it directly.
+  double Now() const;
+
+  // Runs at the end of this turn: where connections are destroyed, never within a callback of
+  // theirs.
+  void Later(std::function<void()> what) { later_.push_back(std::move(what)); }
+  void Run();
+  void Stop() { stopped_ = true; }
+
+ private:
+  std::unique_ptr<event_base, EventBaseFree> base_;
+  EventPtr tick_;
+  Deadlines deadlines_;
+  DescriptorBudget budget_;
+  std::vector<std::function<void()>> later_;
+  double wall_at_start_ = 0, steady_at_start_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_NET_LOOP_H_
--- /dev/null
+++ b/src/net/peers.h
@@ -0,0 +1,41 @@
+// Short messages between the planners of a tier, by UDP.
+#ifndef MILLETHOLLOW_NET_PEERS_H_
+#define MILLETHOLLOW_NET_PEERS_H_
+
+#include <netinet/in.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+
+namespace millethollow {
+
+class Peers {
+ public:
+  using Heard = std::function<void(int sender, const std::string& body)>;
+  static constexpr std::size_t kMostBytes = 256;
+  Peers(Loop* loop, Heard heard) : loop_(loop), heard_(std::move(heard)) {}
+  ~Peers();
+  Peers(const Peers&) = delete;
+  Peers& operator=(const Peers&) = delete;
+
+  bool Open(const std::string& listen, const std::vector<std::string>& peers,
+            const std::string& all, std::string* why);
+  void Tell(int whom, const std::string& body);  // -1: everyone
+
+ private:
+  void Receive();
+  Loop* loop_;
+  Heard heard_;
+  int fd_ = -1;
+  EventPtr readable_;
+  std::vector<sockaddr_in> peers_;
+  sockaddr_in all_{};
+  bool has_all_ = false;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_NET_PEERS_H_
