Add the Gearman front and the loopback tests; keep a first answer from being cut off

Seen: in the new loopback test the 400 for a malformed request never arrived, while the log counted its 90 bytes as out. Checked: a plain socket client against a running node loses the answer on the first request only; the parser and the lingering close were ruled out, since the second such request is answered. Cause: libevent calls the write callback when a fresh socket first turns writable (Connection::Attach), and SenderConnection::OnDrained took that for 'answer drained' and shut the sending side. OnDrained now runs only with an empty output; HttpFront.BadInputReachesNoWorker fails without it. Seen: the same test died of SIGPIPE, ignored so far only where signals were caught: now in Loop. The Gearman front: client, worker and admin side on the one planner; workers are members, JOB_ASSIGN is the send, and what waits at a worker is known never to have run.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -29,8 +29,9 @@
   ListKnown(ListKind::kRestored, known);
 }
 
-std::uint64_t Planner::AddForwarder(ForwarderPort* port) {
+std::uint64_t Planner::AddForwarder(ForwarderPort* port, bool in_process) {
   forwarders_[++next_forwarder_] = port;
+  if (in_process) in_process_.insert(next_forwarder_);
   return next_forwarder_;
 }
 
@@ -130,9 +131,10 @@
 }
 
 void Planner::Began(EnvelopeId id, int attempt) {
-  const Entry* entry = Find(id);
+  Entry* entry = Find(id);
   if (entry == nullptr || static_cast<std::size_t>(attempt) >= entry->attempts.size()) return;
   if (!entry->attempts[static_cast<std::size_t>(attempt)].open) return;
+  entry->attempts[static_cast<std::size_t>(attempt)].began = true;
   Post([this, id, attempt] {
     const std::string name = std::to_string(id);
     Deliver(decksail::AttemptNote{name, attempt, decksail::NoteKind::kStarted, 0});
@@ -146,6 +148,14 @@
   End(id, entry, static_cast<std::size_t>(attempt), outcome);
 }
 
+// A next hop that fetches its work has been sent nothing until it began: what still waited for it
+// when it was called off, or when its time ran out, never ran.
+bool Planner::SurelyWaiting(EnvelopeId id, const Attempt& attempt) const {
+  const auto it = next_hops_.find(attempt.next_hop);
+  return !attempt.began && it != next_hops_.end() && it->second.local &&
+         in_process_.contains(id >> kForwarderShift);
+}
+
 void Planner::End(EnvelopeId id, Entry* entry, std::size_t attempt, const Outcome& outcome) {
   Attempt& a = entry->attempts[attempt];
   if (!a.open) return;  // called off or timed out meanwhile
@@ -308,7 +318,9 @@
   if (entry == nullptr || static_cast<std::size_t>(a.attempt) >= entry->attempts.size()) return;
   if (!entry->attempts[static_cast<std::size_t>(a.attempt)].open) return;
   if (ForwarderPort* port = PortOf(id)) port->Cancel(id, a.attempt);
-  End(id, entry, static_cast<std::size_t>(a.attempt), {.verdict = Verdict::kCalledOff});
+  const auto attempt = static_cast<std::size_t>(a.attempt);
+  const bool waiting = SurelyWaiting(id, entry->attempts[attempt]);
+  End(id, entry, attempt, {.verdict = waiting ? Verdict::kNotSent : Verdict::kCalledOff});
 }
 
 void Planner::Do(const decksail::SetTimer& a) {
@@ -353,7 +365,8 @@
   for (std::size_t i = 0; i < entry->attempts.size(); ++i) {
     if (!entry->attempts[i].open) continue;
     if (ForwarderPort* port = PortOf(id)) port->Cancel(id, static_cast<int>(i));
-    End(id, entry, i, {.verdict = Verdict::kNoAnswer});
+    const bool waiting = SurelyWaiting(id, entry->attempts[i]);
+    End(id, entry, i, {.verdict = waiting ? Verdict::kNotSent : Verdict::kNoAnswer});
     entry = Find(id);
     if (entry == nullptr) return;
   }
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,8 +35,9 @@
 
   // Tells the module that it lives and what it last knew. Call once, before anything else.
   void Start(const std::vector<decksail::Member>& known);
-  // A forwarder takes part from now on; its envelopes carry the number returned.
-  std::uint64_t AddForwarder(ForwarderPort* port);
+  // A forwarder takes part from now on; its envelopes carry the number returned. In process, its
+  // word of a start cannot be under way while we decide.
+  std::uint64_t AddForwarder(ForwarderPort* port, bool in_process);
   // The forwarder is gone, and with it all of its senders and connections.
   void ForwarderLost(std::uint64_t forwarder);
 
@@ -56,6 +58,7 @@
     std::string next_hop;
     double sent_at = 0;
     bool open = true, may_have_run = true;
+    bool began = false;  // word has come that it runs
   };
   struct Entry {
     int cls = 0;
@@ -89,6 +92,7 @@
   ForwarderPort* PortOf(EnvelopeId id);
   const char* WhyNot(const Entry& entry, EnvelopeId id, const std::string& next_hop) const;
   void End(EnvelopeId id, Entry* entry, std::size_t attempt, const Outcome& outcome);
+  bool SurelyWaiting(EnvelopeId id, const Attempt& attempt) const;
   void Answer(EnvelopeId id, Entry* entry, FinalAnswer answer);
   void Expire(EnvelopeId id);
   void Forget(EnvelopeId id);
@@ -100,6 +104,7 @@
   Hooks hooks_;
   Counters* counters_;
   std::map<std::uint64_t, ForwarderPort*> forwarders_;
+  std::set<std::uint64_t> in_process_;
   std::uint64_t next_forwarder_ = 0;
   std::unordered_map<EnvelopeId, Entry> ledger_;
   std::map<std::string, NextHop> next_hops_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,6 +40,7 @@
   try {
     millethollow::Node node(std::move(config));
     if (!node.Start(&why)) return Complain(why);
+    node.CatchSignals();
     node.Run();
     node.PrintCounters(std::clog);
   } catch (const std::exception& e) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -46,7 +46,12 @@
       bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   bufferevent_setcb(
       bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->OnRead(); },
-      [](bufferevent*, void* self) { static_cast<Connection*>(self)->OnDrained(); },
+      [](bufferevent*, void* arg) {
+        // libevent also calls when a fresh socket turns writable, by then perhaps with an answer
+        // queued: taken for drained, that answer was once shut off before it went out.
+        auto* self = static_cast<Connection*>(arg);
+        if (!self->closed() && self->Drained()) self->OnDrained();
+      },
       [](bufferevent*, short what, void* arg) {
         auto* self = static_cast<Connection*>(arg);
         if (self->closed()) return;
@@ -78,8 +83,17 @@
   bufferevent_write(bev_.get(), bytes.data(), bytes.size());
 }
 
-bool Connection::Drained() const {
-  return bev_ == nullptr || evbuffer_get_length(bufferevent_get_output(bev_.get())) == 0;
+std::size_t Connection::Unsent() const {
+  return bev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(bev_.get()));
+}
+
+int Connection::descriptor() const { return bev_ == nullptr ? -1 : bufferevent_getfd(bev_.get()); }
+
+std::string Connection::PeerAddress() const {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  if (getpeername(descriptor(), reinterpret_cast<sockaddr*>(&peer), &size) != 0) return "-";
+  return AddressText(peer);
 }
 
 std::size_t Connection::Available() const {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -29,10 +29,13 @@
 
   void Write(std::string_view bytes);
   // True once every byte written so far has gone to the kernel.
-  bool Drained() const;
+  bool Drained() const { return Unsent() == 0; }
+  std::size_t Unsent() const;
   std::string Peek(std::size_t most) const;  // of what has come in
   void Consume(std::size_t n);
   std::size_t Available() const;
+  int descriptor() const;
+  std::string PeerAddress() const;
   bool closed() const { return bev_ == nullptr; }
   // Ends the connection with its one log line. The object lives on until its owner drops it.
   void Close(const char* reason);
--- /dev/null
+++ b/src/net/gearman/front.h
@@ -0,0 +1,104 @@
+// The Gearman front: clients are sender sides, workers are next hops, both under the one planner.
+#ifndef MILLETHOLLOW_NET_GEARMAN_FRONT_H_
+#define MILLETHOLLOW_NET_GEARMAN_FRONT_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/config.h"
+#include "net/forwarder.h"
+#include "net/gearman/packet.h"
+#include "net/listener.h"
+
+namespace millethollow::gearman {
+
+class Peer;
+
+// What a Gearman client has handed in. Several clients may wait for one job by its unique id.
+struct Job {
+  std::string handle, function, unique;
+  EnvelopeId envelope = 0;
+  int priority = 1;  // 0 high, 1 normal, 2 low
+  bool background = false, running = false;
+  std::string numerator = "0", denominator = "0", exception;
+  std::vector<Peer*> waiting;
+};
+
+// One attempt at a worker: in its queue until the worker grabs it, then assigned.
+struct Task {
+  EnvelopeId envelope = 0;
+  int attempt = 0, priority = 1;
+  std::string handle, function, unique, body;
+  double sent_at = 0;
+  bool orphan = false;  // called off after the assignment: its result has no taker
+  std::vector<std::pair<Type, std::string>> parts;  // WORK_DATA and WORK_WARNING so far
+  std::size_t part_bytes = 0;
+  Deadlines::Ticket limit = Deadlines::kNone;
+};
+
+class Front final : public SenderSide, public NextHopDriver {
+ public:
+  Front(Forwarder* forwarder, const Config& config, Counters* counters);
+  ~Front() override;
+  bool Listen(const std::string& address, std::string* why);
+  std::string address() const { return listener_.address(); }
+  void BeginStop() { stopping_ = true; }
+  void StopListening() { listener_.Close(); }
+
+  // SenderSide
+  void Answer(const Held& held, const FinalAnswer& answer, const std::string& result) override;
+  void Began(EnvelopeId id) override;
+
+  // NextHopDriver
+  bool Owns(const std::string& next_hop) const override { return workers_.contains(next_hop); }
+  void Send(const Held& held, int attempt, const std::string& next_hop) override;
+  void Cancel(EnvelopeId id, int attempt) override;
+  void Probe(const std::string& next_hop) override;
+
+ private:
+  friend class Peer;
+  using Unique = std::pair<std::string, std::string>;  // function and unique id
+  struct Finished {
+    std::string handle, result;
+    std::vector<std::pair<Type, std::string>> parts;
+    double until = 0;
+  };
+
+  void Accept(evutil_socket_t fd);
+  void Drop(Peer* peer);
+  void Submit(Peer* peer, Type type, std::string_view function, std::string_view unique,
+              std::string_view body);
+  void Detach(Peer* peer);
+  void Forget(const std::shared_ptr<Job>& job);
+  bool Keyed(int cls) const;
+  std::shared_ptr<Job> FindHandle(std::string_view handle) const;
+  std::shared_ptr<Job> FindEnvelope(EnvelopeId id) const;
+  std::string FunctionFor(const Held& held, const Peer& worker) const;
+  void Tell(const Job& job, const std::string& packet);
+  void AdminLine(Peer* peer, const std::string& line);
+  void SetReady(Peer* worker);
+
+  Forwarder* forwarder_;
+  const Config& config_;
+  Counters* counters_;
+  Listener listener_;
+  std::map<Peer*, std::unique_ptr<Peer>> peers_;
+  std::map<std::string, Peer*> workers_;  // by next-hop name
+  std::map<EnvelopeId, std::shared_ptr<Job>> jobs_;
+  std::map<std::string, std::shared_ptr<Job>, std::less<>> handles_;
+  std::map<Unique, std::shared_ptr<Job>> uniques_;
+  std::map<Unique, Finished> finished_;
+  std::map<std::pair<EnvelopeId, int>, std::vector<std::pair<Type, std::string>>> parts_;
+  std::size_t body_bytes_ = 0;
+  std::uint64_t sequence_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace millethollow::gearman
+
+#endif  // MILLETHOLLOW_NET_GEARMAN_FRONT_H_
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -17,6 +18,8 @@
 }  // namespace
 
 Loop::Loop() : base_(event_base_new()) {
+  // A peer that breaks off while we write to it must end its connection, not the process.
+  std::signal(SIGPIPE, SIG_IGN);
   if (base_ == nullptr) throw std::runtime_error("no event loop to be had");
   tick_.reset(event_new(base_.get(), -1, 0, [](evutil_socket_t, short, void*) {}, nullptr));
   wall_at_start_ = Seconds<std::chrono::system_clock>();
@@ -27,21 +30,23 @@
   return wall_at_start_ + (Seconds<std::chrono::steady_clock>() - steady_at_start_);
 }
 
-void Loop::Run() {
-  while (!stopped_) {
-    double wait = 1.0;
-    if (const auto next = deadlines_.Next()) wait = std::clamp(*next - Now(), 0.0, 1.0);
-    timeval tv{};
-    tv.tv_sec = static_cast<time_t>(wait);
-    tv.tv_usec = static_cast<suseconds_t>(std::ceil((wait - std::floor(wait)) * 1e6));
-    if (tv.tv_usec >= 1000000) tv = {tv.tv_sec + 1, 0};
-    event_add(tick_.get(), &tv);
-    event_base_loop(base_.get(), EVLOOP_ONCE);
-    deadlines_.Sweep(Now());
-    while (!later_.empty()) {
-      for (const auto& what : std::exchange(later_, {})) what();
-    }
+void Loop::Turn() {
+  double wait = 1.0;
+  if (const auto next = deadlines_.Next()) wait = std::clamp(*next - Now(), 0.0, 1.0);
+  timeval tv{};
+  tv.tv_sec = static_cast<time_t>(wait);
+  tv.tv_usec = static_cast<suseconds_t>(std::ceil((wait - std::floor(wait)) * 1e6));
+  if (tv.tv_usec >= 1000000) tv = {tv.tv_sec + 1, 0};
+  event_add(tick_.get(), &tv);
+  event_base_loop(base_.get(), EVLOOP_ONCE);
+  deadlines_.Sweep(Now());
+  while (!later_.empty()) {
+    for (const auto& what : std::exchange(later_, {})) what();
   }
 }
 
+void Loop::Run() {
+  while (!stopped_) Turn();
+}
+
 }  // namespace millethollow
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -48,7 +48,8 @@
   // Runs at the end of this turn: where connections are destroyed, never within a callback of
   // theirs.
   void Later(std::function<void()> what) { later_.push_back(std::move(what)); }
-  void Run();
+  void Turn();  // waits for events up to the next deadline, then sweeps
+  void Run();   // turns until Stop
   void Stop() { stopped_ = true; }
 
  private:
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -34,7 +34,7 @@
   planner_ = std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks,
                                        &counters_);
   forwarder_ = std::make_unique<Forwarder>(&loop_);
-  const std::uint64_t number = planner_->AddForwarder(forwarder_.get());
+  const std::uint64_t number = planner_->AddForwarder(forwarder_.get(), true);
   link_ = std::make_unique<LocalLink>(planner_.get(), number);
   forwarder_->SetLink(link_.get(), number);
 
@@ -51,6 +51,12 @@
   front_ = std::make_unique<http::SenderFront>(forwarder_.get(), std::move(names), &counters_);
   if (!config_.listen.empty() && !front_->Listen(config_.listen, why)) return false;
 
+  if (!config_.gearman_listen.empty()) {
+    gearman_ = std::make_unique<gearman::Front>(forwarder_.get(), config_, &counters_);
+    forwarder_->AddDriver(gearman_.get());
+    if (!gearman_->Listen(config_.gearman_listen, why)) return false;
+  }
+
   if (!config_.peer_listen.empty()) {
     peers_ = std::make_unique<Peers>(
         &loop_, [this](int who, const std::string& body) { planner_->PeerSaid(who, body); });
@@ -78,6 +84,12 @@
   if (discovery_) discovery_->SetVersion(known.version);
   planner_->Start(known.Members());
 
+  front_->SetServing(true);
+  LogLine(Level::kInfo) << "serving as " << config_.name << " on " << config_.listen;
+  return true;
+}
+
+void Node::CatchSignals() {
   const auto on = [this](int signal, event_callback_fn what) {
     EventPtr e(evsignal_new(loop_.base(), signal, what, this));
     event_add(e.get(), nullptr);
@@ -91,10 +103,6 @@
   usr1_ = on(SIGUSR1, [](evutil_socket_t, short, void* self) {
     static_cast<Node*>(self)->PrintCounters(std::clog);
   });
-  std::signal(SIGPIPE, SIG_IGN);
-  front_->SetServing(true);
-  LogLine(Level::kInfo) << "serving as " << config_.name << " on " << config_.listen;
-  return true;
 }
 
 void Node::OnList(decksail::ListKind kind, const MemberList& list) {
@@ -110,8 +118,10 @@
   stopping_ = true;
   LogLine(Level::kInfo) << "stopping";
   front_->BeginStop();
+  if (gearman_) gearman_->BeginStop();
   loop_.deadlines().At(loop_.Now() + kStopAfterS, [this] {
     front_->CloseIdle();
+    if (gearman_) gearman_->StopListening();
     idle_closed_ = true;
     CheckStopped();
   });
--- a/src/node.h
+++ b/src/node.h
@@ -9,6 +9,7 @@
 #include "core/planner.h"
 #include "net/discovery.h"
 #include "net/forwarder.h"
+#include "net/gearman/front.h"
 #include "net/http/next_hop_pool.h"
 #include "net/http/sender_front.h"
 #include "net/loop.h"
@@ -21,12 +22,14 @@
   explicit Node(Config config);
   ~Node();
   bool Start(std::string* why);
-  void Run();         // until it has stopped
-  void BeginStop();   // as SIGTERM does
+  void CatchSignals();  // SIGTERM and SIGINT stop it, SIGUSR1 prints the counters
+  void Run();           // until it has stopped
+  void BeginStop();
   void PrintCounters(std::ostream& out) const;
 
   Loop& loop() { return loop_; }
   std::string http_address() const { return front_->address(); }
+  std::string gearman_address() const { return gearman_->address(); }
   const Counters& counters() const { return counters_; }
 
  private:
@@ -41,6 +44,7 @@
   std::unique_ptr<LocalLink> link_;
   std::unique_ptr<http::NextHopPool> pool_;
   std::unique_ptr<http::SenderFront> front_;
+  std::unique_ptr<gearman::Front> gearman_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Peers> peers_;
   EventPtr term_, interrupt_, usr1_;
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,376 @@
+// The node on loopback, with the stand-ins of support.h: the HTTP path, then both fronts together.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "support.h"
+
+namespace millethollow {
+namespace {
+
+using gearman::Type;
+
+struct Rig {
+  explicit Rig(int workers = 3, const std::string& extra = "") {
+    LogLevel() = Level::kError;
+    for (int i = 0; i < workers; ++i) this->workers.push_back(std::make_unique<ToyWorker>(&host));
+    std::vector<std::string> addresses;
+    for (const auto& w : this->workers) addresses.push_back(w->address());
+    Config config;
+    std::string why;
+    EXPECT_TRUE(ReadConfig(TestConfig(addresses, extra), &config, &why)) << why;
+    node = std::make_unique<Node>(config);
+    EXPECT_TRUE(node->Start(&why)) << why;
+  }
+  // Node and stand-ins have a loop each; they take turns.
+  template <typename Done>
+  bool Until(Done done, double most_s = 5) {
+    const double until = host.Now() + most_s;
+    while (!done() && host.Now() < until) {
+      for (Loop* loop : {&host, &node->loop()}) {
+        loop->deadlines().At(loop->Now() + 0.001, [] {});
+        loop->Turn();
+      }
+    }
+    return done();
+  }
+  std::unique_ptr<Raw> Client() { return std::make_unique<Raw>(&host, node->http_address()); }
+  std::unique_ptr<GearmanPeer> Gearman() {
+    return std::make_unique<GearmanPeer>(&host, node->gearman_address());
+  }
+  std::string Ask(const std::string& bytes, const std::string& wanted) {
+    const auto client = Client();
+    client->Write(bytes);
+    Until([&] { return client->in.find(wanted) != std::string::npos || client->ended; });
+    return client->in;
+  }
+  std::size_t Got() const {
+    std::size_t n = 0;
+    for (const auto& w : workers) n += w->got.size();
+    return n;
+  }
+  Loop host;
+  std::vector<std::unique_ptr<ToyWorker>> workers;
+  std::unique_ptr<Node> node;
+};
+
+const std::string kGearman =
+    R"("gearman":{"listen":"127.0.0.1:0","functions":{
+       "look":{"class":"look","tenant":"andes"},"charge":{"class":"charge","tenant":"andes"}}},)";
+
+TEST(HttpFront, ServesWhatTheWorkerMadeAndPassesItOnUnchanged) {
+  Rig rig;
+  const std::string in = rig.Ask(Post("a1", "charge", "Idempotency-Key: k9\r\n", "{\"n\":1}"), "ok");
+  EXPECT_TRUE(in.starts_with("HTTP/1.1 200 OK\r\n")) << in;
+  EXPECT_TRUE(in.ends_with("\r\n\r\nok")) << in;
+  ASSERT_EQ(rig.Got(), 1u);
+  for (const auto& w : rig.workers) {
+    for (const auto& g : w->got) {
+      EXPECT_EQ(g.head.target, "/api?x=1");
+      EXPECT_EQ(g.body, "{\"n\":1}");
+      EXPECT_EQ(*g.head.Get("Request-Id"), "a1");
+      EXPECT_EQ(*g.head.Get("Idempotency-Key"), "k9");
+      EXPECT_LE(std::stoi(*g.head.Get("Request-Timeout-Ms")), 3000);
+    }
+  }
+}
+
+TEST(HttpFront, BadInputReachesNoWorker) {
+  Rig rig;
+  const std::string good = Post("a1", "look");
+  const auto without = [&](const std::string& line) {
+    std::string text = good;
+    return text.erase(text.find(line), line.size());
+  };
+  const std::pair<std::string, std::string> cases[] = {
+      {without("Request-Id: a1\r\n"), "400"},
+      {without("Request-Class: look\r\n"), "400"},
+      {without("Tenant: andes\r\n"), "400"},
+      {without("Request-Timeout-Ms: 3000\r\n"), "400"},
+      {Post("a1", "nonesuch"), "400"},
+      {Post("a1", "look", "Tenant: andes\r\n"), "400"},
+      {Post("a1", "look", "Content-Length: 7\r\n"), "400"},
+      {Post("a1", "look", "Transfer-Encoding: chunked\r\n"), "400"},
+      {Post("a1", "charge"), "400"},
+      {Post("a1", "look", "", "{}", 0), "400"},
+      {Post("a1", "look", "", std::string(65537, 'x')), "413"},
+      {Post("a1", "look", "X: " + std::string(20000, 'x') + "\r\n"), "431"},
+      {"POST /apix HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "404"},
+      {"GET /api HTTP/1.1\r\n\r\n", "405"},
+      {"nonsense\r\n", "400"},
+  };
+  for (const auto& [bytes, status] : cases) {
+    const std::string in = rig.Ask(bytes, "\r\n\r\n");
+    EXPECT_TRUE(in.starts_with("HTTP/1.1 " + status)) << bytes.substr(0, 300) << "\n" << in;
+  }
+  EXPECT_EQ(rig.Got(), 0u);
+  EXPECT_TRUE(rig.Ask("GET /_health HTTP/1.1\r\n\r\n", "serving").starts_with("HTTP/1.1 200"));
+}
+
+TEST(HttpFront, EndsTheAttemptWhenTheSenderLeaves) {
+  Rig rig;
+  for (auto& w : rig.workers) w->act = [](const ToyWorker::Got&) {};
+  auto client = rig.Client();
+  client->Write(Post("a1", "charge", "Idempotency-Key: k\r\n"));
+  ASSERT_TRUE(rig.Until([&] { return rig.Got() == 1; }));
+  client->Close("test");
+  EXPECT_TRUE(rig.Until([&] {
+    return std::all_of(rig.workers.begin(), rig.workers.end(), [](const auto& w) { return w->AllGone(); });
+  }));
+  EXPECT_EQ(rig.node->counters().gone, 1u);
+}
+
+TEST(HttpFront, AnswersAtExpiryAndFailsAChargeThatMayHaveRun) {
+  Rig rig;
+  for (auto& w : rig.workers) w->act = [](const ToyWorker::Got&) {};
+  const double began = rig.host.Now();
+  const std::string in =
+      rig.Ask(Post("a1", "charge", "Idempotency-Key: k\r\n", "{}", 150), "\r\n\r\n");
+  EXPECT_TRUE(in.starts_with("HTTP/1.1 504")) << in;
+  EXPECT_LT(rig.host.Now() - began, 1.0);
+}
+
+// A worker's nonsense, another's answer, or a broken line is an error, never an answer.
+TEST(HttpFront, ServesNothingThatNoWorkerMadeForIt) {
+  for (const std::string line : {R"({"id":"zz","state":"done","result":"x"})", "}{", "[1]"}) {
+    Rig rig(1);
+    rig.workers[0]->act = [&](const ToyWorker::Got& g) { ToyWorker::Lines(g, {line}); };
+    const std::string in = rig.Ask(Post("a1", "charge", "Idempotency-Key: k\r\n"), "\r\n\r\n");
+    EXPECT_TRUE(in.starts_with("HTTP/1.1 502")) << in;
+  }
+}
+
+// The group of a charge that may have run is one rack: the third worker, in another, never sees it.
+TEST(HttpFront, KeepsAChargeThatMayHaveRunInItsGroup) {
+  for (int round = 0; round < 12; ++round) {
+    Rig rig;
+    std::vector<int> order;
+    for (int i = 0; i < 3; ++i) {
+      rig.workers[static_cast<std::size_t>(i)]->act = [&order, i](const ToyWorker::Got& g) {
+        order.push_back(i);
+        g.from->Close("test");
+      };
+    }
+    const std::string id = "a" + std::to_string(round);
+    const std::string in = rig.Ask(Post(id, "charge", "Idempotency-Key: k\r\n"), "\r\n\r\n");
+    EXPECT_TRUE(in.starts_with("HTTP/1.1 502")) << in;
+    ASSERT_FALSE(order.empty());
+    for (const int i : order) EXPECT_EQ(i / 2, order[0] / 2);
+  }
+}
+
+TEST(HttpFront, TurnedAwayEverywhereIsDeferredWithATime) {
+  Rig rig;
+  for (auto& w : rig.workers) {
+    w->act = [](const ToyWorker::Got& g) {
+      g.from->Write("HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+  }
+  const std::string in = rig.Ask(Post("a1", "charge", "Idempotency-Key: k\r\n"), "\r\n\r\n");
+  EXPECT_TRUE(in.starts_with("HTTP/1.1 503")) << in;
+  EXPECT_NE(in.find("Retry-After: "), std::string::npos) << in;
+  EXPECT_EQ(rig.Got(), 3u);
+}
+
+TEST(HttpFront, StopsOnlyWhenWhatItTookIsAnswered) {
+  Rig rig(1);
+  ToyWorker::Got held;
+  rig.workers[0]->act = [&](const ToyWorker::Got& g) { held = g; };
+  auto busy = rig.Client(), idle = rig.Client();
+  busy->Write(Post("a1", "look"));
+  ASSERT_TRUE(rig.Until([&] { return rig.Got() == 1; }));
+  rig.node->BeginStop();
+  ASSERT_TRUE(rig.Until([&] { return idle->ended; }));
+  EXPECT_FALSE(busy->ended);
+  ToyWorker::Done(held, "late");
+  ASSERT_TRUE(rig.Until([&] { return busy->ended; }));
+  EXPECT_NE(busy->in.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(busy->in.ends_with("late"));
+}
+
+TEST(Gearman, ServesAJobFromSubmitToComplete) {
+  Rig rig(0, kGearman);
+  auto worker = rig.Gearman(), client = rig.Gearman();
+  worker->WorkOn("look", "done!");
+  client->Say(Type::kEchoReq, {"hi"});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kEchoRes).size() == 1; }));
+  client->Say(Type::kSubmitJobHigh, {"look", "u1", "body"});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kWorkComplete).size() == 1; }));
+  const std::string handle = client->Of(Type::kJobCreated).at(0);
+  EXPECT_EQ(client->Of(Type::kWorkComplete)[0], handle + '\0' + "done!");
+  EXPECT_EQ(worker->Of(Type::kJobAssign).at(0), handle + '\0' + "look" + '\0' + "body");
+  client->Say(Type::kGetStatus, {handle});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kStatusRes).size() == 1; }));
+}
+
+TEST(Gearman, TellsFaultsOfPacketsApart) {
+  Rig rig(0, kGearman);
+  auto peer = rig.Gearman();
+  peer->Say(Type::kSubmitJob, {"nonesuch", "", ""});
+  peer->Say(Type::kSubmitJob, {"look"});
+  peer->Say(Type::kWorkComplete, {"H:x:1", "r"});
+  peer->Say(static_cast<Type>(99), {});
+  peer->Say(Type::kOptionReq, {"exceptions"});
+  ASSERT_TRUE(rig.Until([&] { return peer->Of(Type::kOptionRes).size() == 1; }));
+  ASSERT_EQ(peer->Of(Type::kError).size(), 4u);
+  EXPECT_TRUE(peer->Of(Type::kError)[0].starts_with("unknown_function"));
+  EXPECT_TRUE(peer->Of(Type::kError)[1].starts_with("bad_packet"));
+  EXPECT_TRUE(peer->Of(Type::kError)[2].starts_with("unknown_job"));
+  peer->Write("GARBAGE THAT NO GEARMAN KNOWS\n");
+  ASSERT_TRUE(rig.Until([&] { return peer->got.back().form == gearman::Message::Form::kLine; }));
+  EXPECT_TRUE(peer->got.back().data.starts_with("ERR unknown_command"));
+}
+
+TEST(Gearman, DefersAtOnceWithTheTimeToComeBack) {
+  Rig rig(0, kGearman);  // no worker at all
+  auto client = rig.Gearman();
+  client->Say(Type::kOptionReq, {"exceptions"});
+  client->Say(Type::kSubmitJob, {"charge", "u1", "b"});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kWorkFail).size() == 1; }, 1));
+  ASSERT_EQ(client->Of(Type::kWorkException).size(), 1u);
+  EXPECT_NE(client->Of(Type::kWorkException)[0].find("retry after"), std::string::npos);
+}
+
+// The client of a running charge leaves and comes back: it finds the same charge, made once.
+TEST(Gearman, AChargeWhoseClientLeavesMidRunIsMadeOnce) {
+  Rig rig(0, kGearman);
+  auto one = rig.Gearman(), two = rig.Gearman(), client = rig.Gearman();
+  std::string handle;
+  for (auto* w : {one.get(), two.get()}) {
+    w->WorkOn("charge", "unused");
+    w->act = [&handle, w](const gearman::Message& m) {
+      if (m.type == Type::kNoop) w->Say(Type::kGrabJobUniq, {});
+      if (m.type == Type::kJobAssignUniq) handle = m.data.substr(0, m.data.find('\0'));
+    };
+  }
+  client->Say(Type::kSubmitJob, {"charge", "sub-7", "b"});
+  ASSERT_TRUE(rig.Until([&] { return !handle.empty(); }));
+  client->Close("test");
+  auto again = rig.Gearman();
+  rig.Until([] { return false; }, 0.05);  // the node must have seen it go
+  again->Say(Type::kSubmitJob, {"charge", "sub-7", "b"});
+  ASSERT_TRUE(rig.Until([&] { return again->Of(Type::kJobCreated).size() == 1; }));
+  for (auto* w : {one.get(), two.get()}) w->Say(Type::kWorkComplete, {handle, "paid"});
+  ASSERT_TRUE(rig.Until([&] { return again->Of(Type::kWorkComplete).size() == 1; }));
+  auto late = rig.Gearman();  // and a repeat after the end still finds it
+  late->Say(Type::kSubmitJob, {"charge", "sub-7", "b"});
+  ASSERT_TRUE(rig.Until([&] { return late->Of(Type::kWorkComplete).size() == 1; }));
+  EXPECT_EQ(one->Of(Type::kJobAssignUniq).size() + two->Of(Type::kJobAssignUniq).size(), 1u);
+}
+
+TEST(Gearman, AWorkerThatDiesMidChargeEndsItAndNoOtherGetsIt) {
+  Rig rig(0, kGearman);
+  auto one = rig.Gearman(), two = rig.Gearman(), client = rig.Gearman();
+  for (auto* w : {one.get(), two.get()}) {
+    w->WorkOn("charge", "unused");
+    w->act = [w](const gearman::Message& m) {
+      if (m.type == Type::kNoop) w->Say(Type::kGrabJob, {});
+      if (m.type == Type::kJobAssign) w->Close("test");
+    };
+  }
+  client->Say(Type::kOptionReq, {"exceptions"});
+  client->Say(Type::kSubmitJob, {"charge", "u", "b"});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kWorkFail).size() == 1; }));
+  EXPECT_EQ(client->Of(Type::kWorkException).at(0).find("retry after"), std::string::npos);
+  EXPECT_EQ(one->Of(Type::kJobAssign).size() + two->Of(Type::kJobAssign).size(), 1u);
+}
+
+// Jobs that wait at a worker that drains were never sent: another takes them, and the one that
+// runs is finished where it is.
+TEST(Gearman, ADrainingWorkerHandsOnWhatWaits) {
+  Rig rig(0, kGearman);
+  auto old = rig.Gearman(), client = rig.Gearman(), admin = rig.Gearman();
+  std::string running;
+  old->act = [&](const gearman::Message& m) {
+    if (m.type == Type::kNoop) old->Say(Type::kGrabJob, {});
+    if (m.type == Type::kJobAssign) running = m.data.substr(0, m.data.find('\0'));
+  };
+  old->Say(Type::kSetClientId, {"old-roaster"});
+  old->Say(Type::kCanDo, {"charge"});
+  old->Say(Type::kPreSleep, {});
+  ASSERT_TRUE(rig.Until([&] {
+    client->Say(Type::kSubmitJob, {"charge", "first", "b"});
+    rig.Until([] { return false; }, 0.02);
+    return !running.empty();
+  }));
+  client->Say(Type::kSubmitJob, {"charge", "second", "b"});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kJobCreated).size() >= 2; }));
+  auto fresh = rig.Gearman();
+  fresh->WorkOn("charge", "fresh");
+  rig.Until([] { return false; }, 0.05);
+  admin->Write("drain old-roaster\n");
+  ASSERT_TRUE(rig.Until([&] { return fresh->Of(Type::kJobAssign).size() == 1; }));
+  old->Say(Type::kWorkComplete, {running, "old"});
+  const auto completed = [&] { return client->Of(Type::kWorkComplete).size(); };
+  ASSERT_TRUE(rig.Until([&] { return completed() >= 2; }));
+  const std::size_t before = old->Of(Type::kJobAssign).size();
+  client->Say(Type::kSubmitJob, {"charge", "third", "b"});
+  ASSERT_TRUE(rig.Until([&] { return completed() >= 3; }));
+  EXPECT_EQ(old->Of(Type::kJobAssign).size(), before);
+}
+
+// Both protocols at once, workers with random fates: whatever happens, the rules hold.
+TEST(BothFronts, KeepTheRulesUnderMixedLoad) {
+  Rig rig(3, kGearman);
+  std::mt19937 random(7);
+  std::map<std::string, std::vector<std::size_t>> sent;  // by key or id: cells it may have run in
+  std::map<std::string, int> tries;
+  for (std::size_t i = 0; i < rig.workers.size(); ++i) {
+    rig.workers[i]->act = [&, i](const ToyWorker::Got& g) {
+      const std::string id = *g.head.Get("Request-Id");
+      const std::string* key = g.head.Get("Idempotency-Key");
+      ++tries[id];
+      switch (random() % 5) {
+        case 0: return g.from->Write("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+        case 1: if (key) sent[*key].push_back(i / 2); return ToyWorker::Lines(g, {ToyWorker::Line(g, "failed")});
+        case 2: if (key) sent[*key].push_back(i / 2); return g.from->Close("test");
+        default: if (key) sent[*key].push_back(i / 2); return ToyWorker::Done(g, id);
+      }
+    };
+  }
+  std::vector<std::unique_ptr<GearmanPeer>> gearman;
+  for (int i = 0; i < 2; ++i) {
+    gearman.push_back(rig.Gearman());
+    gearman.back()->WorkOn("look", "g");
+    gearman.back()->WorkOn("charge", "g");
+  }
+  auto submitter = rig.Gearman();
+  std::vector<std::unique_ptr<Raw>> clients;
+  constexpr std::size_t kEach = 60;
+  for (std::size_t i = 0; i < kEach; ++i) {
+    const std::string id = "h" + std::to_string(i);
+    clients.push_back(rig.Client());
+    clients.back()->Write(i % 2 ? Post(id, "look") : Post(id, "charge", "Idempotency-Key: " + id + "\r\n"));
+    submitter->Say(Type::kSubmitJob, {i % 2 ? "look" : "charge", id, "b"});
+    rig.Until([] { return false; }, 0.004);
+  }
+  const auto ends = [&] {
+    return submitter->Of(Type::kWorkComplete).size() + submitter->Of(Type::kWorkFail).size();
+  };
+  const auto answered = [](const auto& c) { return c->in.find("\r\n\r\n") != std::string::npos; };
+  EXPECT_TRUE(rig.Until([&] {
+    return ends() == kEach && std::all_of(clients.begin(), clients.end(), answered);
+  }));
+  rig.Until([] { return false; }, 0.05);  // time for a second answer, if there were one
+  EXPECT_EQ(submitter->Of(Type::kJobCreated).size(), kEach);
+  EXPECT_EQ(ends(), kEach);
+  for (std::size_t i = 0; i < kEach; ++i) {
+    const std::string& in = clients[i]->in;
+    EXPECT_EQ(in.find("HTTP/1.1 ", 1), std::string::npos) << in;
+    if (in.starts_with("HTTP/1.1 200")) {
+      EXPECT_TRUE(in.ends_with("\r\n\r\nh" + std::to_string(i)) || in.ends_with("\r\n\r\ng")) << in;
+    } else if (in.starts_with("HTTP/1.1 503")) {  // says that nothing happened
+      EXPECT_FALSE(sent.contains("h" + std::to_string(i))) << in;
+    }
+  }
+  for (const auto& [key, cells] : sent) {
+    for (const std::size_t cell : cells) EXPECT_EQ(cell, cells[0]) << key;
+  }
+  for (const auto& [id, n] : tries) EXPECT_LE(n, 4) << id;
+  const Counters& c = rig.node->counters();
+  EXPECT_EQ(c.taken, 2 * kEach);
+  EXPECT_EQ(c.served + c.deferred + c.failed, 2 * kEach);
+}
+
+}  // namespace
+}  // namespace millethollow
--- /dev/null
+++ b/tests/support.cpp
@@ -0,0 +1,124 @@
+#include "support.h"
+
+namespace millethollow {
+
+std::string TestConfig(const std::vector<std::string>& workers, const std::string& extra) {
+  std::string list;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    list += std::string(list.empty() ? "" : ",") + R"({"id":"w)" + std::to_string(i) +
+            R"(","addr":")" + workers[i] + R"(","zone":"q","kind":"k","cell":)" +
+            std::to_string(i / 2) + R"(,"state":"in_service","started_ms":0})";
+  }
+  return R"({"name":"t","listen":"127.0.0.1:0","seed":"1f","log_level":"error",
+    "known":{"version":1,"full":true,"servers":[)" + list + R"(]},)" + extra + R"(
+    "settings":{"balancers":1,"ordinal":0,"tick_s":0.005,"zone":0,"zones":["q","s"],
+      "kinds":["k"],"discovery":"push","family":"jobs",
+      "classes":[
+        {"name":"look","aim_s":0.25,"give_up_s":6,"importance":1,"semantics":"repeatable"},
+        {"name":"charge","aim_s":2,"give_up_s":25,"importance":8,"semantics":"by_key",
+         "group":"cell","window_s":40}],
+      "tenants":[{"name":"andes","fraction":1,"quota_rps":1000}],
+      "family_info":{"tells_start":true},
+      "limits":{"cancel":true,"may_duplicate":true,"most_tries":4,"retry_after":true,
+        "max_retry_after_s":2,"connect_timeout_s":0.25,"conn_idle_s":60},
+      "guarantees":{"drain_grace_s":2,"cold_s":8,"cold_share":0.3,"ask_within_s":10,
+        "fall_multiple":3,"overload_for_s":3,"answer_slack_s":0.02}}})";
+}
+
+ToyWorker::ToyWorker(Loop* loop) : loop_(loop) {
+  std::string why;
+  const bool open = listener_.Open(
+      loop, "127.0.0.1:0",
+      [this](evutil_socket_t fd) {
+        auto client = std::make_unique<Client>();
+        Client* c = client.get();
+        c->raw = std::make_unique<Raw>(loop_, fd);
+        c->raw->on_read = [this, c] {
+          while (!c->raw->in.empty()) {
+            c->raw->in.erase(0, c->parser.Feed(c->raw->in));
+            if (!c->parser.done()) return;
+            const Got g{c->parser.head(), c->parser.TakeBody(), c->raw.get()};
+            c->parser.Reset();
+            got.push_back(g);
+            act(g);
+          }
+        };
+        clients_.push_back(std::move(client));
+      },
+      &why);
+  EXPECT_TRUE(open) << why;
+}
+
+void ToyWorker::Lines(const Got& got, const std::vector<std::string>& lines) {
+  std::string out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& line : lines) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+    out += size + line + "\n\r\n";
+  }
+  got.from->Write(out + "0\r\n\r\n");
+}
+
+std::string ToyWorker::Line(const Got& got, const std::string& state) {
+  return R"({"id":")" + *got.head.Get("Request-Id") + R"(","from":"w","state":")" + state + "\"}";
+}
+
+void ToyWorker::Done(const Got& got, const std::string& result) {
+  std::string done = Line(got, "done");
+  done.insert(done.size() - 1, R"(,"result":")" + result + "\"");
+  Lines(got, {Line(got, "started"), done});
+}
+
+bool ToyWorker::AllGone() const {
+  for (const auto& c : clients_) {
+    if (!c->raw->ended) return false;
+  }
+  return true;
+}
+
+GearmanPeer::GearmanPeer(Loop* loop, const std::string& address) : Raw(loop, address) {
+  on_read = [this] {
+    while (!in.empty()) {
+      in.erase(0, parser_.Feed(in));
+      ASSERT_EQ(parser_.error(), nullptr);
+      const auto message = parser_.Take();
+      if (!message) return;
+      got.push_back(*message);
+      act(*message);
+    }
+  };
+}
+
+void GearmanPeer::Say(gearman::Type type, std::initializer_list<std::string_view> arguments) {
+  Write(gearman::Packet(gearman::Message::Form::kRequest, type, arguments));
+}
+
+std::vector<std::string> GearmanPeer::Of(gearman::Type type) const {
+  std::vector<std::string> data;
+  for (const auto& m : got) {
+    if (m.form == gearman::Message::Form::kResponse && m.type == type) data.push_back(m.data);
+  }
+  return data;
+}
+
+void GearmanPeer::WorkOn(const std::string& function, const std::string& result) {
+  act = [this, result](const gearman::Message& m) {
+    if (m.type == gearman::Type::kNoop) Say(gearman::Type::kGrabJob, {});
+    if (m.type == gearman::Type::kJobAssign) {
+      const std::string handle = m.data.substr(0, m.data.find('\0'));
+      Say(gearman::Type::kWorkComplete, {handle, result});
+      Say(gearman::Type::kPreSleep, {});
+    }
+  };
+  Say(gearman::Type::kCanDo, {function});
+  Say(gearman::Type::kPreSleep, {});
+}
+
+std::string Post(const std::string& id, const std::string& cls, const std::string& more,
+                 const std::string& body, int timeout_ms) {
+  return "POST /api?x=1 HTTP/1.1\r\nHost: s\r\nRequest-Id: " + id + "\r\nRequest-Class: " + cls +
+         "\r\nTenant: andes\r\nRequest-Timeout-Ms: " + std::to_string(timeout_ms) + "\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace millethollow
