--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# build, test, lint and run; CI calls the same test and lint commands.
+BUILD ?= build
+CI_BUILD ?= build-ci
+CONFIG ?= examples/millethollow.json
+
+.PHONY: build test lint run format
+build:
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DDECKSAIL_TESTS=OFF
+	cmake --build $(BUILD) -j4
+
+test:
+	cmake -B $(CI_BUILD) -DCMAKE_BUILD_TYPE=Debug -DDECKSAIL_SANITIZE=ON
+	cmake --build $(CI_BUILD) -j4
+	ctest --test-dir $(CI_BUILD) --output-on-failure
+
+# The files that are new here; the module and its adapter keep the form they came in.
+OWN = $(shell find src/core src/net src/config -name '*.cpp' -o -name '*.h' | sort) src/main.cpp \
+  src/node.cpp src/node.h src/log.h src/supervisor.cpp src/supervisor.h examples/toy_worker.cpp
+lint:
+	clang-format --dry-run --Werror $(OWN)
+	cppcheck --quiet --std=c++20 --language=c++ --error-exitcode=1 --inline-suppr \
+	  --enable=warning,performance,portability --suppress=missingIncludeSystem -I src -I include \
+	  $(filter %.cpp,$(OWN))
+
+format:
+	clang-format -i $(OWN)
+
+run: build
+	$(BUILD)/millethollow --config $(CONFIG)
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -16,7 +16,8 @@
 
 std::string Scalar(const Json& value) {
   std::string text = value.is_string() ? value.get<std::string>() : value.dump();
-  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
   return text;
 }
 
@@ -122,7 +123,8 @@
   if (!Read(root, "name", &c->name, why) || !Read(root, "listen", &c->listen, why) ||
       !Read(root, "discovery", &c->discovery, why) ||
       !Read(root, "peer_listen", &c->peer_listen, why) || !Read(root, "peers", &c->peers, why) ||
-      !Read(root, "peers_all", &c->peers_all, why) || !Read(root, "log_level", &c->log_level, why) ||
+      !Read(root, "peers_all", &c->peers_all, why) ||
+      !Read(root, "log_level", &c->log_level, why) ||
       !Read(own_limits, "sockets", &c->sockets, why) ||
       !Read(limits, "conn_idle_s", &c->conn_idle_s, why) ||
       !Read(limits, "connect_timeout_s", &c->connect_timeout_s, why)) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -32,9 +32,9 @@
   std::string gearman_listen;
   std::map<std::string, GearmanFunction> gearman_functions;
   int gearman_zone = 0, gearman_kind = 0;
-  int gearman_cell = -1;  // -1: each worker is a group of its own
-  std::string gearman_path = "/api";      // asked of HTTP next hops
-  std::string link;                       // path of the Unix sockets; empty: one process
+  int gearman_cell = -1;              // -1: each worker is a group of its own
+  std::string gearman_path = "/api";  // asked of HTTP next hops
+  std::string link;                   // path of the Unix sockets; empty: one process
   int planners = 1, forwarders = 1;
 };
 
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -352,9 +352,15 @@
   entry->answered = true;
   deadlines_->Drop(&entry->expiry);
   switch (answer.kind) {
-    case FinalAnswer::Kind::kServed: counters_->served += 1; break;
-    case FinalAnswer::Kind::kDeferred: counters_->deferred += 1; break;
-    case FinalAnswer::Kind::kFailed: counters_->failed += 1; break;
+    case FinalAnswer::Kind::kServed:
+      counters_->served += 1;
+      break;
+    case FinalAnswer::Kind::kDeferred:
+      counters_->deferred += 1;
+      break;
+    case FinalAnswer::Kind::kFailed:
+      counters_->failed += 1;
+      break;
   }
   if (ForwarderPort* port = PortOf(id)) port->Answer(id, answer);
 }
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -69,8 +69,8 @@
   };
   struct NextHop {
     decksail::Member member;
-    double drain_told_at = -1;      // when it was first told to drain or be gone; -1: in service
-    std::uint64_t forwarder = 0;    // owner, for one that connects by itself
+    double drain_told_at = -1;    // when it was first told to drain or be gone; -1: in service
+    std::uint64_t forwarder = 0;  // owner, for one that connects by itself
     bool local = false;
   };
 
--- a/src/log.h
+++ b/src/log.h
@@ -22,7 +22,9 @@
     if (on_) text_ << "EWID"[static_cast<int>(level)] << ' ';
   }
   ~LogLine() {
-    if (on_) std::clog << text_.str() << std::endl;
+    if (!on_) return;
+    text_ << '\n';
+    std::clog << text_.str() << std::flush;  // in one piece: processes share the stream
   }
   LogLine(const LogLine&) = delete;
   LogLine& operator=(const LogLine&) = delete;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,23 +1,63 @@
-// millethollow: reads its configuration and runs one node until it is told to stop.
+// millethollow: reads its configuration and runs a node, the processes of a two-level deployment,
+// or the importer.
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <string_view>
 
+#include "config/haproxy.h"
 #include "log.h"
 #include "node.h"
+#include "supervisor.h"
 
 namespace {
 
+using millethollow::Config;
+using millethollow::Level;
+using millethollow::Role;
+
+constexpr std::string_view kUsage =
+    "usage: millethollow [--config FILE] [--check]\n"
+    "       millethollow import-haproxy FILE    writes an operator's file to standard output";
+
 int Complain(const std::string& why) {
   std::cerr << "millethollow: " << why << std::endl;
   return 1;
 }
 
+int Import(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  if (!in || !(text << in.rdbuf())) return Complain("cannot read " + path);
+  millethollow::Import import;
+  std::string why;
+  if (!millethollow::ImportHaproxy(text.str(), &import, &why)) return Complain(path + ": " + why);
+  for (const std::string& note : import.notes) std::cerr << path << ": " << note << "\n";
+  std::cout << import.config;
+  return 0;
+}
+
+int RunNode(const Config& config, Role role) {
+  try {
+    millethollow::Node node(config, role);
+    std::string why;
+    if (!node.Start(&why)) return Complain(why);
+    node.CatchSignals();
+    node.Run();
+    node.PrintCounters(std::clog);
+  } catch (const std::exception& e) {
+    return Complain(std::string("cannot go on: ") + e.what());
+  }
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   std::string path;
   bool check = false;
+  if (argc == 3 && std::string_view(argv[1]) == "import-haproxy") return Import(argv[2]);
   for (int i = 1; i < argc; ++i) {
     const std::string_view arg = argv[i];
     if (arg == "--config" && i + 1 < argc) {
@@ -25,26 +65,18 @@
     } else if (arg == "--check") {
       check = true;
     } else {
-      return Complain("usage: millethollow [--config FILE] [--check]");
+      return Complain(std::string(kUsage));
     }
   }
-  millethollow::Config config;
+  Config config;
   std::string why;
   if (!millethollow::LoadConfig(path, &config, &why)) return Complain(why);
   if (check) return 0;
-  using millethollow::Level;
   millethollow::LogLevel() = config.log_level == "error"   ? Level::kError
                              : config.log_level == "warn"  ? Level::kWarn
                              : config.log_level == "debug" ? Level::kDebug
                                                            : Level::kInfo;
-  try {
-    millethollow::Node node(std::move(config));
-    if (!node.Start(&why)) return Complain(why);
-    node.CatchSignals();
-    node.Run();
-    node.PrintCounters(std::clog);
-  } catch (const std::exception& e) {
-    return Complain(std::string("cannot go on: ") + e.what());
-  }
-  return 0;
+  if (config.link.empty()) return RunNode(config, {});
+  return millethollow::Supervise(config.planners, config.forwarders,
+                                 [&config](Role role) { return RunNode(config, role); });
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 
 #include "log.h"
@@ -12,7 +13,8 @@
 namespace millethollow {
 namespace {
 
-// No reader needs more at once than one message of the largest size; the kernel holds the rest back.
+// No reader needs more at once than one message of the largest size; the kernel holds the rest
+// back.
 constexpr std::size_t kMostBuffered = 128 * 1024;
 
 }  // namespace
@@ -33,6 +35,14 @@
   return address;
 }
 
+std::optional<sockaddr_un> UnixAddress(const std::string& path) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  if (path.empty() || path.size() >= sizeof address.sun_path) return std::nullopt;
+  std::copy(path.begin(), path.end(), address.sun_path);
+  return address;
+}
+
 std::string AddressText(const sockaddr_in& address) {
   char text[INET_ADDRSTRLEN] = "?";
   inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
@@ -77,6 +87,16 @@
                                     sizeof address) == 0;
 }
 
+bool Connection::ConnectUnix(const std::string& path) {
+  const auto address = UnixAddress(path);
+  const evutil_socket_t fd = socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  Attach(fd);
+  return address &&
+         bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&*address),
+                                    sizeof *address) == 0;
+}
+
 void Connection::Write(std::string_view bytes) {
   if (bev_ == nullptr) return;
   out_ += bytes.size();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -4,6 +4,7 @@
 
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
+#include <sys/un.h>
 
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 namespace millethollow {
 
 std::optional<sockaddr_in> ParseAddress(std::string_view text);  // IPv4 address:port
+std::optional<sockaddr_un> UnixAddress(const std::string& path);
 std::string AddressText(const sockaddr_in& address);
 
 struct BufferFree {
@@ -42,8 +44,9 @@
 
  protected:
   Connection(Loop* loop, const char* what) : loop_(loop), what_(what) {}
-  void Adopt(evutil_socket_t fd);                 // an accepted socket
-  bool Connect(const sockaddr_in& address);       // false if it fails at once
+  void Adopt(evutil_socket_t fd);            // an accepted socket
+  bool Connect(const sockaddr_in& address);  // false if it fails at once
+  bool ConnectUnix(const std::string& path);
   void EndSending();  // half-closes: the peer can still be read
   virtual void OnConnected() {}
   virtual void OnRead() = 0;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -58,6 +58,7 @@
     ListEntry entry;
     entry.member.worker = s["id"].get<std::string>();
     if (s.contains("addr") && s["addr"].is_string()) entry.address = s["addr"].get<std::string>();
+    entry.most_out = static_cast<std::size_t>(std::clamp(Number(s, "max_out", 0), 0.0, 1e6));
     const std::string state = s.contains("state") && s["state"].is_string()
                                   ? s["state"].get<std::string>()
                                   : std::string("in_service");
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -16,6 +16,7 @@
 struct ListEntry {
   decksail::Member member;
   std::string address;
+  std::size_t most_out = 0;  // requests out at once that it may have of a forwarder; 0: any
 };
 
 struct MemberList {
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -6,6 +6,9 @@
 #include "log.h"
 
 namespace millethollow {
+namespace {
+constexpr double kBackstopS = 0.03;  // within the slack that the rules leave
+}
 
 EnvelopeId Forwarder::Take(Held held, SenderSide* sender) {
   if (link_ == nullptr) return 0;
@@ -14,6 +17,16 @@
   Open& open = held_[id];
   open.held = std::move(held);
   open.sender = sender;
+  // The planner answers at expiry. One across a link that hangs must not keep a sender waiting.
+  open.backstop = loop_->deadlines().At(open.held.envelope.expires_at + kBackstopS, [this, id] {
+    const auto it = held_.find(id);
+    if (it == held_.end()) return;
+    it->second.backstop = Deadlines::kNone;
+    if (it->second.answered) return;
+    LogLine(Level::kWarn) << "the planner left an envelope unanswered";
+    Abandon(id);
+    if (link_ != nullptr) link_->SenderGone(id);
+  });
   // The envelope may be answered within the call: the answer reaches the sender only next turn's
   // end, so that a sender always has the id first.
   loop_->Later([this, id] {
@@ -36,6 +49,7 @@
   if (it == held_.end() || it->second.answered) return;
   it->second.answered = true;
   it->second.sender = nullptr;
+  loop_->deadlines().Drop(&it->second.backstop);
   if (link_ != nullptr) link_->SenderGone(id);
   Forget(id);
 }
@@ -85,6 +99,7 @@
   if (it == held_.end() || it->second.answered) return;
   Open& open = it->second;
   open.answered = true;
+  loop_->deadlines().Drop(&open.backstop);
   SenderSide* sender = std::exchange(open.sender, nullptr);
   if (sender != nullptr) sender->Answer(open.held, answer, open.results[answer.attempt]);
   open.results.clear();
@@ -120,17 +135,20 @@
   std::vector<EnvelopeId> ids;
   for (const auto& [id, open] : held_) ids.push_back(id);
   std::sort(ids.begin(), ids.end());
-  for (const EnvelopeId id : ids) {
-    const auto it = held_.find(id);
-    if (it == held_.end()) continue;
-    const bool ran = it->second.may_have_run || !it->second.attempts.empty();
-    for (const auto& [attempt, driver] : std::exchange(it->second.attempts, {})) {
-      driver->Cancel(id, attempt);
-    }
-    using Kind = FinalAnswer::Kind;
-    Answer(id, {.kind = ran ? Kind::kFailed : Kind::kDeferred, .retry_after_s = ran ? 0.0 : 0.5});
-    Forget(id);
+  for (const EnvelopeId id : ids) Abandon(id);
+}
+
+// Without the planner's word: what was never sent is deferred, what may have run fails.
+void Forwarder::Abandon(EnvelopeId id) {
+  const auto it = held_.find(id);
+  if (it == held_.end()) return;
+  const bool ran = it->second.may_have_run || !it->second.attempts.empty();
+  for (const auto& [attempt, driver] : std::exchange(it->second.attempts, {})) {
+    driver->Cancel(id, attempt);
   }
+  using Kind = FinalAnswer::Kind;
+  Answer(id, {.kind = ran ? Kind::kFailed : Kind::kDeferred, .retry_after_s = ran ? 0.0 : 0.5});
+  Forget(id);
 }
 
 }  // namespace millethollow
--- a/src/net/forwarder.h
+++ b/src/net/forwarder.h
@@ -80,8 +80,10 @@
     bool may_have_run = false;
     std::unordered_map<int, NextHopDriver*> attempts;  // still out
     std::unordered_map<int, std::string> results;
+    Deadlines::Ticket backstop = Deadlines::kNone;
   };
   void Forget(EnvelopeId id);
+  void Abandon(EnvelopeId id);
   NextHopDriver* DriverOf(const std::string& next_hop) const;
 
   Loop* loop_;
--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -15,12 +15,12 @@
 
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;                 // of a job, as on the other front
-constexpr std::size_t kMostData = kMostBody + 4096;          // of a packet
-constexpr std::size_t kMostParts = 256 * 1024;               // of a job's data sent ahead
-constexpr std::size_t kMostHeldBytes = 24 * 1024 * 1024;     // of all jobs' bodies
-constexpr std::size_t kMostUnsent = 2 * 1024 * 1024;         // to a peer that does not read
-constexpr std::size_t kMostFinished = 256;                   // results kept for late repeats
+constexpr std::size_t kMostBody = 64 * 1024;              // of a job, as on the other front
+constexpr std::size_t kMostData = kMostBody + 4096;       // of a packet
+constexpr std::size_t kMostParts = 256 * 1024;            // of a job's data sent ahead
+constexpr std::size_t kMostHeldBytes = 24 * 1024 * 1024;  // of all jobs' bodies
+constexpr std::size_t kMostUnsent = 2 * 1024 * 1024;      // to a peer that does not read
+constexpr std::size_t kMostFinished = 256;                // results kept for late repeats
 constexpr std::size_t kMostName = 256;
 constexpr std::size_t kMostTasks = 2;  // at a worker: one that runs and one that waits
 constexpr int kOwnCells = 1 << 20;     // cells from here on are no list's
@@ -31,7 +31,8 @@
 }
 
 std::string SpaceFree(std::string text) {  // admin lines are split at spaces and tabs
-  std::replace_if(text.begin(), text.end(), [](char c) { return c <= ' ' || c == 0x7f; }, '_');
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c <= ' ' || c == 0x7f; }, '_');
   return text;
 }
 
@@ -158,7 +159,8 @@
         return true;
       }
       case Type::kGetStatus:
-      case Type::kGetStatusUnique: return Status(m.type, data);
+      case Type::kGetStatusUnique:
+        return Status(m.type, data);
       case Type::kOptionReq:
         if (data != "exceptions") {
           Error("unknown_option", "Only 'exceptions' is known");
@@ -167,7 +169,9 @@
           Say(Response(Type::kOptionRes, {data}));
         }
         return true;
-      case Type::kEchoReq: Say(Response(Type::kEchoRes, {data})); return true;
+      case Type::kEchoReq:
+        Say(Response(Type::kEchoRes, {data}));
+        return true;
       case Type::kSetClientId:
         if (data.empty() || data.size() > kMostName) return false;
         client_id_ = SpaceFree(std::string(data));
@@ -199,8 +203,10 @@
         if (!sleeping_) Say(Response(Type::kNoop, {}));
         return true;
       case Type::kGrabJob:
-      case Type::kGrabJobUniq: return Grab(m.type), true;
-      case Type::kAllYours: return true;
+      case Type::kGrabJobUniq:
+        return Grab(m.type), true;
+      case Type::kAllYours:
+        return true;
       case Type::kWorkStatus: {
         const auto a = Arguments(data, 3, true);
         return a && Progress((*a)[0], (*a)[1], (*a)[2]);
@@ -216,7 +222,8 @@
         const auto a = Arguments(data, 1, true);
         return a && Work(m.type, (*a)[0], {});
       }
-      default: return false;
+      default:
+        return false;
     }
   }
 
@@ -285,7 +292,8 @@
     if (it->second.orphan || job == nullptr) return true;
     job->numerator = num.substr(0, kMostName);
     job->denominator = den.substr(0, kMostName);
-    front_->Tell(*job, Response(Type::kWorkStatus, {job->handle, job->numerator, job->denominator}));
+    front_->Tell(*job,
+                 Response(Type::kWorkStatus, {job->handle, job->numerator, job->denominator}));
     return true;
   }
 
@@ -403,9 +411,9 @@
 
 // A worker is a next hop while it can do one of the functions that the file maps.
 void Front::SetReady(Peer* worker) {
-  const bool able = std::any_of(
-      worker->abilities().begin(), worker->abilities().end(),
-      [this](const auto& a) { return config_.gearman_functions.contains(a.first); });
+  const bool able =
+      std::any_of(worker->abilities().begin(), worker->abilities().end(),
+                  [this](const auto& a) { return config_.gearman_functions.contains(a.first); });
   const bool known = workers_.contains(worker->name());
   if (!able && !known) return;
   workers_[worker->name()] = worker;
@@ -418,12 +426,16 @@
   m.cell = config_.gearman_cell >= 0 ? config_.gearman_cell : worker->cell();
   // Never cold: it grabs one job at a time, so no rate of ours can push it over.
   m.born_s = 0;
-  m.readiness = worker->closed()                ? Readiness::kGone
-                : !able || worker->drains()     ? Readiness::kDraining
-                                                : Readiness::kReady;
+  m.readiness = worker->closed()            ? Readiness::kGone
+                : !able || worker->drains() ? Readiness::kDraining
+                                            : Readiness::kReady;
   if (forwarder_->link() != nullptr) forwarder_->link()->NextHopChanged(m);
 }
 
+void Front::AnnounceWorkers() {
+  for (const auto& [name, worker] : std::map<std::string, Peer*>(workers_)) SetReady(worker);
+}
+
 bool Front::Keyed(int cls) const {
   return config_.settings.classes[static_cast<std::size_t>(cls)].semantics !=
          decksail::Semantics::kRepeatable;
@@ -452,8 +464,8 @@
   if (body.size() > kMostBody) return error("job_too_large", "A job holds 64 KiB at most");
   if (body_bytes_ + body.size() > kMostHeldBytes) return error("queue_full", "Try again later");
   const auto [cls, tenant] = mapped->second;
-  const bool background = type == Type::kSubmitJobBg || type == Type::kSubmitJobHighBg ||
-                          type == Type::kSubmitJobLowBg;
+  const bool background =
+      type == Type::kSubmitJobBg || type == Type::kSubmitJobHighBg || type == Type::kSubmitJobLowBg;
   const double now = forwarder_->loop()->Now();
   // '-' asks that the work itself be the key.
   const Unique key{function, unique == "-" ? body : unique};
@@ -480,7 +492,7 @@
   job->function = function;
   job->unique = key.second;
   job->background = background;
-  job->priority = type == Type::kSubmitJobHigh || type == Type::kSubmitJobHighBg  ? 0
+  job->priority = type == Type::kSubmitJobHigh || type == Type::kSubmitJobHighBg ? 0
                   : type == Type::kSubmitJobLow || type == Type::kSubmitJobLowBg ? 2
                                                                                  : 1;
   Held held;
--- a/src/net/gearman/front.h
+++ b/src/net/gearman/front.h
@@ -48,6 +48,7 @@
   bool Listen(const std::string& address, std::string* why);
   std::string address() const { return listener_.address(); }
   void BeginStop() { stopping_ = true; }
+  void AnnounceWorkers();  // to a planner that has not heard of them
   void StopListening() { listener_.Close(); }
 
   // SenderSide
--- a/src/net/gearman/packet.h
+++ b/src/net/gearman/packet.h
@@ -13,13 +13,40 @@
 namespace millethollow::gearman {
 
 enum class Type : std::uint32_t {
-  kCanDo = 1, kCantDo = 2, kResetAbilities = 3, kPreSleep = 4, kNoop = 6, kSubmitJob = 7,
-  kJobCreated = 8, kGrabJob = 9, kNoJob = 10, kJobAssign = 11, kWorkStatus = 12,
-  kWorkComplete = 13, kWorkFail = 14, kGetStatus = 15, kEchoReq = 16, kEchoRes = 17,
-  kSubmitJobBg = 18, kError = 19, kStatusRes = 20, kSubmitJobHigh = 21, kSetClientId = 22,
-  kCanDoTimeout = 23, kAllYours = 24, kWorkException = 25, kOptionReq = 26, kOptionRes = 27,
-  kWorkData = 28, kWorkWarning = 29, kGrabJobUniq = 30, kJobAssignUniq = 31,
-  kSubmitJobHighBg = 32, kSubmitJobLow = 33, kSubmitJobLowBg = 34, kGetStatusUnique = 41,
+  kCanDo = 1,
+  kCantDo = 2,
+  kResetAbilities = 3,
+  kPreSleep = 4,
+  kNoop = 6,
+  kSubmitJob = 7,
+  kJobCreated = 8,
+  kGrabJob = 9,
+  kNoJob = 10,
+  kJobAssign = 11,
+  kWorkStatus = 12,
+  kWorkComplete = 13,
+  kWorkFail = 14,
+  kGetStatus = 15,
+  kEchoReq = 16,
+  kEchoRes = 17,
+  kSubmitJobBg = 18,
+  kError = 19,
+  kStatusRes = 20,
+  kSubmitJobHigh = 21,
+  kSetClientId = 22,
+  kCanDoTimeout = 23,
+  kAllYours = 24,
+  kWorkException = 25,
+  kOptionReq = 26,
+  kOptionRes = 27,
+  kWorkData = 28,
+  kWorkWarning = 29,
+  kGrabJobUniq = 30,
+  kJobAssignUniq = 31,
+  kSubmitJobHighBg = 32,
+  kSubmitJobLow = 33,
+  kSubmitJobLowBg = 34,
+  kGetStatusUnique = 41,
   kStatusResUnique = 42,
 };
 
@@ -35,7 +62,7 @@
   explicit Parser(std::size_t most_data) : most_data_(most_data) {}
   // Takes in bytes up to the end of one message; returns how many. After an error, none.
   std::size_t Feed(std::string_view bytes);
-  std::optional<Message> Take();  // the message that is complete, once
+  std::optional<Message> Take();                // the message that is complete, once
   const char* error() const { return error_; }  // null while all is well
 
  private:
@@ -51,7 +78,8 @@
 std::optional<std::vector<std::string_view>> Arguments(std::string_view data, std::size_t count,
                                                        bool closed = false);
 
-std::string Packet(Message::Form form, Type type, std::initializer_list<std::string_view> arguments);
+std::string Packet(Message::Form form, Type type,
+                   std::initializer_list<std::string_view> arguments);
 
 }  // namespace millethollow::gearman
 
--- a/src/net/http/next_hop_pool.cpp
+++ b/src/net/http/next_hop_pool.cpp
@@ -194,13 +194,19 @@
     const JobLine line = ReadJobLine(text, wire_id_);
     using What = JobLine::What;
     switch (line.what) {
-      case What::kStarted: return pool_->forwarder_->AttemptBegan(id_, attempt_);
-      case What::kRunning: return;
-      case What::kServed: return Report({.verdict = Verdict::kServed}, line.result);
-      case What::kTurnedAway: return Report({.verdict = Verdict::kTurnedAway});
-      case What::kLost: return Report({.verdict = Verdict::kConnectionLost});
+      case What::kStarted:
+        return pool_->forwarder_->AttemptBegan(id_, attempt_);
+      case What::kRunning:
+        return;
+      case What::kServed:
+        return Report({.verdict = Verdict::kServed}, line.result);
+      case What::kTurnedAway:
+        return Report({.verdict = Verdict::kTurnedAway});
+      case What::kLost:
+        return Report({.verdict = Verdict::kConnectionLost});
       case What::kError:
-      case What::kNonsense: return Report({.verdict = Verdict::kServerError});
+      case What::kNonsense:
+        return Report({.verdict = Verdict::kServerError});
     }
   }
 
@@ -239,7 +245,7 @@
     reported_ = true;
     outcome.latency_s = loop_->Now() - sent_at_;
     if (id_ == 0) return pool_->forwarder_->ProbeEnded(next_hop_, outcome);
-    pool_->out_.erase({id_, attempt_});
+    pool_->NoLongerOut(id_, attempt_);
     if (!parser_.done()) {  // the end of the answer must still come, or the connection is no use
       loop_->deadlines().Drop(&limit_);
       limit_ = loop_->deadlines().At(loop_->Now() + kEndS, [this] {
@@ -288,8 +294,10 @@
     : forwarder_(forwarder), options_(std::move(options)) {}
 NextHopPool::~NextHopPool() = default;
 
-void NextHopPool::SetAddress(const std::string& next_hop, const std::string& address) {
+void NextHopPool::SetAddress(const std::string& next_hop, const std::string& address,
+                             std::size_t most_out) {
   Hop& hop = hops_[next_hop];
+  hop.most_out = most_out;
   if (hop.address_text == address) return;
   hop.address_text = address;
   const auto parsed = ParseAddress(address);
@@ -330,12 +338,16 @@
 }
 
 void NextHopPool::Send(const Held& held, int attempt, const std::string& next_hop) {
+  const auto hop = hops_.find(next_hop);
+  if (hop != hops_.end() && hop->second.most_out > 0 && hop->second.out >= hop->second.most_out) {
+    return forwarder_->AttemptEnded(held.envelope.id, attempt, {.verdict = Verdict::kTurnedAway});
+  }
   HopConnection* connection = Get(next_hop);
   if (connection == nullptr) {
-    return forwarder_->AttemptEnded(held.envelope.id, attempt,
-                                    {.verdict = Verdict::kNoConnection});
+    return forwarder_->AttemptEnded(held.envelope.id, attempt, {.verdict = Verdict::kNoConnection});
   }
   out_[{held.envelope.id, attempt}] = connection;
+  hop->second.out += 1;
   connection->SendEnvelope(held, attempt);
 }
 
@@ -351,11 +363,18 @@
   const auto it = out_.find({id, attempt});
   if (it == out_.end()) return;
   HopConnection* connection = it->second;
-  out_.erase(it);
+  NoLongerOut(id, attempt);
   connection->Forget();
   connection->Finish("called-off");
 }
 
+void NextHopPool::NoLongerOut(EnvelopeId id, int attempt) {
+  const auto it = out_.find({id, attempt});
+  if (it == out_.end()) return;
+  hops_[it->second->next_hop()].out -= 1;
+  out_.erase(it);
+}
+
 void NextHopPool::Release(HopConnection* connection) {
   hops_[connection->next_hop()].idle.push_back(connection);
   connection->Rest();
--- a/src/net/http/next_hop_pool.h
+++ b/src/net/http/next_hop_pool.h
@@ -20,7 +20,7 @@
  public:
   struct Options {
     double connect_timeout_s = 0.25;
-    double idle_s = 60;                // next hops close idle connections after this
+    double idle_s = 60;  // next hops close idle connections after this
     double probe_timeout_s = 0.5;
     std::vector<std::string> columns;  // names of the load report's values, in order
   };
@@ -28,7 +28,8 @@
   ~NextHopPool() override;
 
   // The transport map: where each next hop listens.
-  void SetAddress(const std::string& next_hop, const std::string& address);
+  void SetAddress(const std::string& next_hop, const std::string& address,
+                  std::size_t most_out = 0);
 
   bool Owns(const std::string& next_hop) const override { return hops_.contains(next_hop); }
   void Send(const Held& held, int attempt, const std::string& next_hop) override;
@@ -42,12 +43,14 @@
     std::string address_text;
     sockaddr_in address{};
     bool reachable = false;
-    std::vector<HopConnection*> idle;  // the last is the one used last
+    std::size_t most_out = 0, out = 0;  // attempts at once: allowed (0: any), and now
+    std::vector<HopConnection*> idle;   // the last is the one used last
   };
   HopConnection* Get(const std::string& next_hop);
   void Release(HopConnection* connection);
   void Drop(HopConnection* connection);
   bool CloseOldestIdle();
+  void NoLongerOut(EnvelopeId id, int attempt);
 
   Forwarder* forwarder_;
   Options options_;
@@ -61,8 +64,15 @@
 
 // What one line of a next hop's answer says about the attempt that carries `id`.
 struct JobLine {
-  enum class What : std::uint8_t { kNonsense, kStarted, kRunning, kServed, kError, kTurnedAway,
-                                   kLost };
+  enum class What : std::uint8_t {
+    kNonsense,
+    kStarted,
+    kRunning,
+    kServed,
+    kError,
+    kTurnedAway,
+    kLost
+  };
   What what = What::kNonsense;
   std::string result;
 };
--- a/src/net/http/parser.cpp
+++ b/src/net/http/parser.cpp
@@ -139,7 +139,9 @@
         HeaderLine();
       }
       break;
-    case State::kChunkSize: ChunkSize(); break;
+    case State::kChunkSize:
+      ChunkSize();
+      break;
     case State::kChunkEnd:
       if (!line_.empty()) return Fail(400);
       state_ = State::kChunkSize;
@@ -147,7 +149,8 @@
     case State::kTrailer:
       if (line_.empty()) state_ = State::kDone;
       break;
-    default: break;
+    default:
+      break;
   }
   line_.clear();
 }
--- a/src/net/http/parser.h
+++ b/src/net/http/parser.h
@@ -49,8 +49,17 @@
   void Reset();  // ready for the next message
 
  private:
-  enum class State : std::uint8_t { kHead, kLength, kChunkSize, kChunk, kChunkEnd, kTrailer,
-                                    kToEnd, kDone, kBad };
+  enum class State : std::uint8_t {
+    kHead,
+    kLength,
+    kChunkSize,
+    kChunk,
+    kChunkEnd,
+    kTrailer,
+    kToEnd,
+    kDone,
+    kBad
+  };
   void Line();
   void FirstLine();
   void HeaderLine();
--- a/src/net/http/sender_front.cpp
+++ b/src/net/http/sender_front.cpp
@@ -42,19 +42,32 @@
 
 const char* Reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 408: return "Request Timeout";
-    case 413: return "Content Too Large";
-    case 431: return "Request Header Fields Too Large";
-    case 501: return "Not Implemented";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    case 505: return "HTTP Version Not Supported";
-    default: return "Unknown";
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Unknown";
   }
 }
 
@@ -65,10 +78,19 @@
 
 // Headers that belong to one connection or that we write ourselves.
 bool OurOwn(std::string_view name) {
-  static constexpr std::string_view kNames[] = {
-      "Host", "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Expect",
-      "Content-Length", "Transfer-Encoding", "Request-Timeout-Ms", "Request-Id",
-      "Idempotency-Key"};
+  static constexpr std::string_view kNames[] = {"Host",
+                                                "Connection",
+                                                "Keep-Alive",
+                                                "Proxy-Connection",
+                                                "TE",
+                                                "Trailer",
+                                                "Upgrade",
+                                                "Expect",
+                                                "Content-Length",
+                                                "Transfer-Encoding",
+                                                "Request-Timeout-Ms",
+                                                "Request-Id",
+                                                "Idempotency-Key"};
   return std::any_of(std::begin(kNames), std::end(kNames),
                      [name](std::string_view own) { return SameName(own, name); });
 }
@@ -82,8 +104,8 @@
     return 400;
   };
   Envelope& e = held->envelope;
-  for (const char* name : {"Request-Id", "Request-Class", "Tenant", "Request-Timeout-Ms",
-                           "Idempotency-Key"}) {
+  for (const char* name :
+       {"Request-Id", "Request-Class", "Tenant", "Request-Timeout-Ms", "Idempotency-Key"}) {
     if (head.Count(name) > 1) return bad("a header that counts came twice");
   }
   const std::string* id = head.Get("Request-Id");
@@ -148,7 +170,8 @@
     envelope_ = 0;
     if (closed()) return;
     switch (answer.kind) {
-      case FinalAnswer::Kind::kServed: return Respond(200, result);
+      case FinalAnswer::Kind::kServed:
+        return Respond(200, result);
       case FinalAnswer::Kind::kDeferred: {
         std::string line;
         if (answer.retry_after_s > 0) {
@@ -256,10 +279,10 @@
   }
 
   void OnEnd(const char* reason) override {
-    Finish(state_ == State::kLingering  ? "bad-request"
-           : state_ == State::kWaiting  ? "sender-gone"
-           : state_ == State::kClosing  ? "gone-before-answer"
-                                        : reason);
+    Finish(state_ == State::kLingering ? "bad-request"
+           : state_ == State::kWaiting ? "sender-gone"
+           : state_ == State::kClosing ? "gone-before-answer"
+                                       : reason);
   }
 
   void Finish(const char* reason) {
@@ -283,9 +306,9 @@
     : forwarder_(forwarder), names_(std::move(names)), counters_(counters) {}
 SenderFront::~SenderFront() = default;
 
-bool SenderFront::Listen(const std::string& address, std::string* why) {
+bool SenderFront::Listen(const std::string& address, bool shared, std::string* why) {
   return listener_.Open(
-      forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why);
+      forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why, shared);
 }
 
 void SenderFront::Accept(evutil_socket_t fd) {
--- a/src/net/http/sender_front.h
+++ b/src/net/http/sender_front.h
@@ -31,7 +31,8 @@
  public:
   SenderFront(Forwarder* forwarder, Names names, Counters* counters);
   ~SenderFront();
-  bool Listen(const std::string& address, std::string* why);
+  // `shared`: other processes listen on the same address too.
+  bool Listen(const std::string& address, bool shared, std::string* why);
   std::string address() const { return listener_.address(); }
   void SetServing(bool serving) { serving_ = serving; }
   // Goes on serving, and asks each sender to leave with its next answer.
--- /dev/null
+++ b/src/net/link/link.h
@@ -0,0 +1,78 @@
+// The link between the two levels across processes: PlannerLink and ForwarderPort over framed Unix
+// sockets.
+#ifndef MILLETHOLLOW_NET_LINK_LINK_H_
+#define MILLETHOLLOW_NET_LINK_LINK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/planner.h"
+#include "net/forwarder.h"
+#include "net/listener.h"
+
+namespace millethollow::link {
+
+class Channel;
+
+// At the planner: takes in forwarders.
+class PlannerServer {
+ public:
+  PlannerServer(Loop* loop, Planner* planner);
+  ~PlannerServer();
+  bool Listen(const std::string& path, std::string* why);
+  // Every forwarder must know where a next hop is before the planner sends to it.
+  void SetAddress(const std::string& next_hop, const std::string& address, std::size_t most_out);
+  std::size_t forwarders() const { return channels_.size(); }
+
+ private:
+  friend class Channel;
+  void Drop(Channel* channel);
+  Loop* loop_;
+  Planner* planner_;
+  Listener listener_;
+  std::map<Channel*, std::unique_ptr<Channel>> channels_;
+  std::map<std::string, std::pair<std::string, std::size_t>> addresses_;
+};
+
+class PlannerConnection;
+
+// At the forwarder: holds a link to one of the planners, and moves on to the next when it is lost.
+class PlannerClient final : public PlannerLink {
+ public:
+  struct Hooks {
+    std::function<void(const std::string& next_hop, const std::string& address, std::size_t most)>
+        address;
+    std::function<void(bool)> linked;  // a planner is there, or is lost
+  };
+  PlannerClient(Forwarder* forwarder, std::vector<std::string> paths, std::size_t first,
+                Hooks hooks);
+  ~PlannerClient() override;
+  void Start();
+
+  void Taken(const Envelope& envelope) override;
+  void SenderGone(EnvelopeId id) override;
+  void Began(EnvelopeId id, int attempt) override;
+  void Ended(EnvelopeId id, int attempt, const Outcome& outcome) override;
+  void Probed(const std::string& next_hop, const Outcome& outcome) override;
+  void NextHopChanged(const decksail::Member& member) override;
+
+ private:
+  friend class PlannerConnection;
+  void Write(const std::string& frame);
+  void Lost();
+  Forwarder* forwarder_;
+  std::vector<std::string> paths_;
+  std::size_t next_;
+  Hooks hooks_;
+  std::unique_ptr<PlannerConnection> connection_;
+  bool linked_ = false;
+  int failures_ = 0;  // to connect, one after the other
+  Deadlines::Ticket retry_ = Deadlines::kNone;
+};
+
+}  // namespace millethollow::link
+
+#endif  // MILLETHOLLOW_NET_LINK_LINK_H_
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
@@ -11,7 +12,8 @@
 
 namespace millethollow {
 
-bool Listener::Open(Loop* loop, const std::string& address, Accepted accepted, std::string* why) {
+bool Listener::Open(Loop* loop, const std::string& address, Accepted accepted, std::string* why,
+                    bool shared) {
   const auto parsed = ParseAddress(address);
   if (!parsed) {
     *why = "not an address to listen on: '" + address + "'";
@@ -19,15 +21,30 @@
   }
   loop_ = loop;
   accepted_ = std::move(accepted);
+  return Bind(reinterpret_cast<const sockaddr*>(&*parsed), sizeof *parsed,
+              shared ? LEV_OPT_REUSEABLE_PORT : 0u, address, why);
+}
+
+bool Listener::OpenUnix(Loop* loop, const std::string& path, Accepted accepted, std::string* why) {
+  const auto address = UnixAddress(path);
+  if (!address) return *why = "not a socket path: '" + path + "'", false;
+  loop_ = loop;
+  accepted_ = std::move(accepted);
+  unlink(path.c_str());  // left there by a process that died
+  return Bind(reinterpret_cast<const sockaddr*>(&*address), sizeof *address, 0, path, why);
+}
+
+bool Listener::Bind(const sockaddr* address, int size, unsigned flags, const std::string& name,
+                    std::string* why) {
   listener_.reset(evconnlistener_new_bind(
-      loop->base(),
+      loop_->base(),
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
         static_cast<Listener*>(self)->accepted_(fd);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
-      reinterpret_cast<const sockaddr*>(&*parsed), sizeof *parsed));
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | flags, 512, address,
+      size));
   if (listener_ == nullptr) {
-    *why = "cannot listen on " + address + ": " + std::strerror(errno);
+    *why = "cannot listen on " + name + ": " + std::strerror(errno);
     return false;
   }
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* arg) {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -15,14 +15,22 @@
 class Listener {
  public:
   using Accepted = std::function<void(evutil_socket_t)>;
-  bool Open(Loop* loop, const std::string& address, Accepted accepted, std::string* why);
-  void Pause() { if (listener_) evconnlistener_disable(listener_.get()); }
-  void Resume() { if (listener_) evconnlistener_enable(listener_.get()); }
+  bool Open(Loop* loop, const std::string& address, Accepted accepted, std::string* why,
+            bool shared = false);
+  bool OpenUnix(Loop* loop, const std::string& path, Accepted accepted, std::string* why);
+  void Pause() {
+    if (listener_) evconnlistener_disable(listener_.get());
+  }
+  void Resume() {
+    if (listener_) evconnlistener_enable(listener_.get());
+  }
   void Close() { listener_.reset(); }
   bool open() const { return listener_ != nullptr; }
   std::string address() const;  // as bound: with the port that port 0 became
 
  private:
+  bool Bind(const sockaddr* address, int size, unsigned flags, const std::string& name,
+            std::string* why);
   struct Free {
     void operator()(evconnlistener* l) const { evconnlistener_free(l); }
   };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -21,7 +21,8 @@
   // A peer that breaks off while we write to it must end its connection, not the process.
   std::signal(SIGPIPE, SIG_IGN);
   if (base_ == nullptr) throw std::runtime_error("no event loop to be had");
-  tick_.reset(event_new(base_.get(), -1, 0, [](evutil_socket_t, short, void*) {}, nullptr));
+  tick_.reset(event_new(
+      base_.get(), -1, 0, [](evutil_socket_t, short, void*) {}, nullptr));
   wall_at_start_ = Seconds<std::chrono::system_clock>();
   steady_at_start_ = Seconds<std::chrono::steady_clock>();
 }
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -43,8 +43,8 @@
   if (fd_ < 0 || body.size() > kMostBytes) return;
   const auto send = [&](const sockaddr_in& to) {
     // Best effort: a full buffer loses the message, as the network may.
-    (void)sendto(fd_, body.data(), body.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr*>(&to),
-                 sizeof to);
+    (void)sendto(fd_, body.data(), body.size(), MSG_DONTWAIT,
+                 reinterpret_cast<const sockaddr*>(&to), sizeof to);
   };
   if (whom >= 0 && static_cast<std::size_t>(whom) < peers_.size()) {
     send(peers_[static_cast<std::size_t>(whom)]);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -2,23 +2,48 @@
 
 #include <csignal>
 #include <random>
+#include <sstream>
 
 #include "log.h"
 
 namespace millethollow {
-
 namespace {
+
 constexpr double kStopAfterS = 0.5;  // new connections still come for up to 0.4 s after SIGTERM
+constexpr double kStopCheckS = 0.02;
+
+}  // namespace
+
+std::string PlannerPath(const Config& config, int planner) {
+  return config.link + "/planner-" + std::to_string(planner) + ".sock";
 }
 
-Node::Node(Config config) : config_(std::move(config)) {}
+Node::Node(Config config, Role role) : config_(std::move(config)), role_(role) {}
 Node::~Node() = default;
 
 bool Node::Start(std::string* why) {
   loop_.budget() = DescriptorBudget::Of(config_.sockets);
   std::uint64_t seed = config_.seed;
   if (seed == 0) seed = std::random_device{}();
+  if (role_.kind != Role::Kind::kPlanner && !StartForwarder(why)) return false;
+  if (role_.kind != Role::Kind::kForwarder && !StartPlanner(seed, why)) return false;
+  if (role_.kind == Role::Kind::kForwarder) client_->Start();
+  LogLine(Level::kInfo) << "started as " << config_.name;
+  return true;
+}
 
+bool Node::StartPlanner(std::uint64_t seed, std::string* why) {
+  if (role_.kind == Role::Kind::kPlanner) config_.name += "-p" + std::to_string(role_.index);
+  if (role_.kind == Role::Kind::kPlanner && config_.planners > 1) {
+    // The planners of a deployment are peers of each other.
+    config_.settings.dispatchers = config_.planners;
+    config_.settings.ordinal = role_.index;
+    seed += static_cast<std::uint64_t>(role_.index) * 0x9e3779b97f4a7c15ULL;
+    const auto me = static_cast<std::size_t>(role_.index);
+    config_.settings.peers = config_.peers.size() == static_cast<std::size_t>(config_.planners);
+    config_.peer_listen = config_.settings.peers ? config_.peers[me] : "";
+    config_.peers_all.clear();
+  }
   Planner::Hooks hooks;
   hooks.now = [this] { return loop_.Now(); };
   hooks.subscribe = [this](bool on) {
@@ -31,32 +56,16 @@
     if (peers_) peers_->Tell(whom, body);
   };
   hooks.log = [](const std::string& line) { LogLine(Level::kWarn) << "planner: " << line; };
-  planner_ = std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks,
-                                       &counters_);
-  forwarder_ = std::make_unique<Forwarder>(&loop_);
-  const std::uint64_t number = planner_->AddForwarder(forwarder_.get(), true);
-  link_ = std::make_unique<LocalLink>(planner_.get(), number);
-  forwarder_->SetLink(link_.get(), number);
-
-  pool_ = std::make_unique<http::NextHopPool>(
-      forwarder_.get(), http::NextHopPool::Options{.connect_timeout_s = config_.connect_timeout_s,
-                                                   .idle_s = config_.conn_idle_s,
-                                                   .columns = config_.columns});
-  forwarder_->AddDriver(pool_.get());
-
-  http::Names names{.classes = config_.classes, .tenants = config_.tenants, .keyed = {}};
-  for (const auto& c : config_.settings.classes) {
-    names.keyed.push_back(c.semantics == decksail::Semantics::kByKey);
+  planner_ =
+      std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks, &counters_);
+  if (forwarder_) {
+    const std::uint64_t number = planner_->AddForwarder(forwarder_.get(), true);
+    local_link_ = std::make_unique<LocalLink>(planner_.get(), number);
+    forwarder_->SetLink(local_link_.get(), number);
+  } else {
+    server_ = std::make_unique<link::PlannerServer>(&loop_, planner_.get());
+    if (!server_->Listen(PlannerPath(config_, role_.index), why)) return false;
   }
-  front_ = std::make_unique<http::SenderFront>(forwarder_.get(), std::move(names), &counters_);
-  if (!config_.listen.empty() && !front_->Listen(config_.listen, why)) return false;
-
-  if (!config_.gearman_listen.empty()) {
-    gearman_ = std::make_unique<gearman::Front>(forwarder_.get(), config_, &counters_);
-    forwarder_->AddDriver(gearman_.get());
-    if (!gearman_->Listen(config_.gearman_listen, why)) return false;
-  }
-
   if (!config_.peer_listen.empty()) {
     peers_ = std::make_unique<Peers>(
         &loop_, [this](int who, const std::string& body) { planner_->PeerSaid(who, body); });
@@ -72,20 +81,55 @@
                            .seed = seed},
         Discovery::Hooks{
             .known = [this](decksail::ListKind kind, const MemberList& l) { OnList(kind, l); },
-            .unavailable =
-                [this] { planner_->ListKnown(decksail::ListKind::kUnavailable, {}); }});
+            .unavailable = [this] { planner_->ListKnown(decksail::ListKind::kUnavailable, {}); }});
   }
   MemberList known;
   if (config_.known != "{}" &&
       !ReadMemberList(config_.known, config_.zones, config_.kinds, &known, why)) {
     return false;
   }
-  for (const ListEntry& e : known.entries) pool_->SetAddress(e.member.worker, e.address);
+  for (const ListEntry& e : known.entries) SetAddress(e.member.worker, e.address, e.most_out);
   if (discovery_) discovery_->SetVersion(known.version);
   planner_->Start(known.Members());
+  if (front_) front_->SetServing(true);
+  return true;
+}
 
-  front_->SetServing(true);
-  LogLine(Level::kInfo) << "serving as " << config_.name << " on " << config_.listen;
+bool Node::StartForwarder(std::string* why) {
+  if (role_.kind == Role::Kind::kForwarder) config_.name += "-f" + std::to_string(role_.index);
+  forwarder_ = std::make_unique<Forwarder>(&loop_);
+  pool_ = std::make_unique<http::NextHopPool>(
+      forwarder_.get(), http::NextHopPool::Options{.connect_timeout_s = config_.connect_timeout_s,
+                                                   .idle_s = config_.conn_idle_s,
+                                                   .columns = config_.columns});
+  forwarder_->AddDriver(pool_.get());
+  http::Names names{.classes = config_.classes, .tenants = config_.tenants, .keyed = {}};
+  for (const auto& c : config_.settings.classes) {
+    names.keyed.push_back(c.semantics == decksail::Semantics::kByKey);
+  }
+  const bool shared = role_.kind == Role::Kind::kForwarder && config_.forwarders > 1;
+  front_ = std::make_unique<http::SenderFront>(forwarder_.get(), std::move(names), &counters_);
+  if (!config_.listen.empty() && !front_->Listen(config_.listen, shared, why)) return false;
+  // A Gearman worker's next hop belongs to the forwarder that it connects to, and so do the jobs
+  // it may be given: one forwarder has them all.
+  if (!config_.gearman_listen.empty() && role_.index == 0) {
+    gearman_ = std::make_unique<gearman::Front>(forwarder_.get(), config_, &counters_);
+    forwarder_->AddDriver(gearman_.get());
+    if (!gearman_->Listen(config_.gearman_listen, why)) return false;
+  }
+  if (role_.kind != Role::Kind::kForwarder) return true;
+  std::vector<std::string> paths;
+  for (int p = 0; p < config_.planners; ++p) paths.push_back(PlannerPath(config_, p));
+  client_ = std::make_unique<link::PlannerClient>(
+      forwarder_.get(), std::move(paths), static_cast<std::size_t>(role_.index),
+      link::PlannerClient::Hooks{
+          .address = [this](const std::string& hop, const std::string& address,
+                            std::size_t most) { pool_->SetAddress(hop, address, most); },
+          .linked =
+              [this](bool linked) {
+                front_->SetServing(linked);
+                if (linked && gearman_) gearman_->AnnounceWorkers();
+              }});
   return true;
 }
 
@@ -105,11 +149,16 @@
   });
 }
 
+void Node::SetAddress(const std::string& next_hop, const std::string& address,
+                      std::size_t most_out) {
+  if (address.empty()) return;
+  if (pool_) pool_->SetAddress(next_hop, address, most_out);
+  if (server_) server_->SetAddress(next_hop, address, most_out);
+}
+
 void Node::OnList(decksail::ListKind kind, const MemberList& list) {
   counters_.lists += 1;
-  for (const ListEntry& e : list.entries) {
-    if (!e.address.empty()) pool_->SetAddress(e.member.worker, e.address);
-  }
+  for (const ListEntry& e : list.entries) SetAddress(e.member.worker, e.address, e.most_out);
   planner_->ListKnown(kind, list.Members());
 }
 
@@ -117,31 +166,36 @@
   if (stopping_) return;
   stopping_ = true;
   LogLine(Level::kInfo) << "stopping";
-  front_->BeginStop();
+  if (front_) front_->BeginStop();
   if (gearman_) gearman_->BeginStop();
   loop_.deadlines().At(loop_.Now() + kStopAfterS, [this] {
-    front_->CloseIdle();
+    if (front_) front_->CloseIdle();
     if (gearman_) gearman_->StopListening();
-    idle_closed_ = true;
     CheckStopped();
   });
 }
 
 void Node::CheckStopped() {
-  if (forwarder_->open() == 0 && front_->connections() == 0) return loop_.Stop();
-  loop_.deadlines().At(loop_.Now() + 0.02, [this] { CheckStopped(); });
+  const bool done = forwarder_ ? forwarder_->open() == 0 && front_->connections() == 0
+                               : planner_->open_envelopes() == 0;
+  if (done) return loop_.Stop();
+  loop_.deadlines().At(loop_.Now() + kStopCheckS, [this] { CheckStopped(); });
 }
 
 void Node::Run() { loop_.Run(); }
 
 void Node::PrintCounters(std::ostream& out) const {
   const Counters& c = counters_;
-  out << "counters taken=" << c.taken << " sent=" << c.sent << " served=" << c.served
-      << " deferred=" << c.deferred << " failed=" << c.failed << " gone=" << c.gone
-      << " probes=" << c.probes << " blocked=" << c.blocked << " bad_input=" << c.bad_input
-      << " peers_in=" << c.peers_in << " peers_out=" << c.peers_out << " lists=" << c.lists
-      << " senders=" << front_->connections() << " next_hops=" << pool_->connections()
-      << std::endl;
+  std::ostringstream line;
+  line << "counters " << config_.name << " taken=" << c.taken << " sent=" << c.sent
+      << " served=" << c.served << " deferred=" << c.deferred << " failed=" << c.failed
+      << " gone=" << c.gone << " probes=" << c.probes << " blocked=" << c.blocked
+      << " bad_input=" << c.bad_input << " peers_in=" << c.peers_in << " peers_out=" << c.peers_out
+      << " lists=" << c.lists;
+  if (front_) line << " senders=" << front_->connections() << " next_hops=" << pool_->connections();
+  if (server_) line << " forwarders=" << server_->forwarders();
+  line << '\n';
+  out << line.str() << std::flush;
 }
 
 }  // namespace millethollow
--- a/src/node.h
+++ b/src/node.h
@@ -1,8 +1,10 @@
-// The wiring of one node: planner, forwarder, fronts, discovery and peers on one loop.
+// The wiring of one process: on the platform a planner and a forwarder on one loop, joined in
+// process; in a two-level deployment one of the two, joined by the socket link.
 #ifndef MILLETHOLLOW_NODE_H_
 #define MILLETHOLLOW_NODE_H_
 
 #include <memory>
+#include <ostream>
 #include <string>
 
 #include "config/config.h"
@@ -12,14 +14,24 @@
 #include "net/gearman/front.h"
 #include "net/http/next_hop_pool.h"
 #include "net/http/sender_front.h"
+#include "net/link/link.h"
 #include "net/loop.h"
 #include "net/peers.h"
 
 namespace millethollow {
 
+struct Role {
+  enum class Kind : std::uint8_t { kWhole, kPlanner, kForwarder };
+  Kind kind = Kind::kWhole;
+  int index = 0;  // among the planners or the forwarders
+};
+
+// The socket of a planner, under the folder that the configuration names.
+std::string PlannerPath(const Config& config, int planner);
+
 class Node {
  public:
-  explicit Node(Config config);
+  explicit Node(Config config, Role role = {});
   ~Node();
   bool Start(std::string* why);
   void CatchSignals();  // SIGTERM and SIGINT stop it, SIGUSR1 prints the counters
@@ -33,22 +45,30 @@
   const Counters& counters() const { return counters_; }
 
  private:
+  bool StartPlanner(std::uint64_t seed, std::string* why);
+  bool StartForwarder(std::string* why);
+  void SetAddress(const std::string& next_hop, const std::string& address, std::size_t most_out);
   void OnList(decksail::ListKind kind, const MemberList& list);
   void CheckStopped();
 
   Config config_;
+  Role role_;
   Loop loop_;
   Counters counters_;
+  // The planner's side.
   std::unique_ptr<Planner> planner_;
+  std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Peers> peers_;
+  std::unique_ptr<link::PlannerServer> server_;
+  // The forwarder's side.
   std::unique_ptr<Forwarder> forwarder_;
-  std::unique_ptr<LocalLink> link_;
+  std::unique_ptr<LocalLink> local_link_;
   std::unique_ptr<http::NextHopPool> pool_;
   std::unique_ptr<http::SenderFront> front_;
   std::unique_ptr<gearman::Front> gearman_;
-  std::unique_ptr<Discovery> discovery_;
-  std::unique_ptr<Peers> peers_;
+  std::unique_ptr<link::PlannerClient> client_;
   EventPtr term_, interrupt_, usr1_;
-  bool stopping_ = false, idle_closed_ = false;
+  bool stopping_ = false;
 };
 
 }  // namespace millethollow
--- /dev/null
+++ b/tests/haproxy_test.cpp
@@ -0,0 +1,118 @@
+// The importer: what it takes over, and that what it can't honour is named with its line.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "config/config.h"
+#include "config/haproxy.h"
+#include "net/discovery.h"
+
+namespace millethollow {
+namespace {
+
+const std::string kFile = R"(global
+  maxconn 200
+  daemon
+defaults base
+  mode http
+  timeout connect 250ms
+  timeout server 6s
+  timeout client 1m   # idle senders
+  retries 2
+frontend shop from base
+  bind *:8080,127.0.0.1:8081
+  acl old path_beg "/a b"
+  default_backend roast
+backend roast from base
+  balance leastconn
+  default-server weight 3
+  server r1 127.0.0.1:9001 maxconn 4 check inter 2s
+  server r2 127.0.0.1:9002 weight 1 disabled
+  server r3 roaster.example:9003
+listen ship
+  bind 127.0.0.1:8082
+  timeout server 1500
+  server s1 127.0.0.1:9004 weight 0
+)";
+
+TEST(Haproxy, TakesOverProxiesAndNamesTheRest) {
+  Import import;
+  std::string why;
+  ASSERT_TRUE(ImportHaproxy(kFile, &import, &why)) << why;
+  Config c;
+  ASSERT_TRUE(ReadConfig(import.config, &c, &why)) << why;
+  EXPECT_EQ(c.listen, "0.0.0.0:8080");
+  EXPECT_EQ(c.classes, (std::vector<std::string>{"roast", "ship"}));
+  EXPECT_EQ(c.settings.classes[0].give_up_s, 6);
+  EXPECT_EQ(c.settings.classes[1].give_up_s, 1.5);
+  EXPECT_EQ(c.settings.classes[1].kind, 1);
+  EXPECT_EQ(c.settings.classes[0].semantics, decksail::Semantics::kOnce);
+  EXPECT_EQ(c.connect_timeout_s, 0.25);
+  EXPECT_EQ(c.settings.most_tries, 3);  // ship takes over the defaults above it
+  EXPECT_EQ(c.sockets, 464u);
+  MemberList list;
+  ASSERT_TRUE(ReadMemberList(c.known, c.zones, c.kinds, &list, &why));
+  ASSERT_EQ(list.entries.size(), 3u);
+  EXPECT_EQ(list.entries[0].member.capacity, 3);
+  EXPECT_EQ(list.entries[0].most_out, 4u);
+  EXPECT_EQ(list.entries[1].member.readiness, decksail::Readiness::kDraining);
+  EXPECT_EQ(list.entries[2].member.readiness, decksail::Readiness::kDraining);
+  std::string notes;
+  for (const std::string& note : import.notes) notes += note + "\n";
+  for (const char* wanted : {"line 3: not honoured: global 'daemon'", "line 8: not honoured: timeout client",
+                             "line 11: not honoured: bind 127.0.0.1:8081", "line 12: not honoured: 'acl' old",
+                             "line 15: not honoured: balance leastconn", "line 17: not honoured: server option 'check'",
+                             "line 17: not honoured: server option 'inter'", "line 19: not honoured: server address",
+                             "line 21: not honoured: bind 127.0.0.1:8082"}) {
+    EXPECT_NE(notes.find(wanted), std::string::npos) << wanted << "\n" << notes;
+  }
+}
+
+TEST(Haproxy, SaysWhereItCannotRead) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"bind :80\n", "line 1: "},
+      {"listen a\n bind :80\n server x\n", "line 3: "},
+      {"listen a\n bind :80\n server x 1.2.3.4:5 weight 300\n", "line 3: "},
+      {"listen a\n timeout server 5q\n", "line 2: "},
+      {"listen a\n bind \":80\n", "line 2: "},
+      {"backend a\n bind :80\n", "line 2: "},
+      {"frontend a\n bind :80\n default_backend b\n", "line 1: "},
+      {"listen a\n bind :80\nlisten a\n", "line 3: "},
+      {"backend a\n server x 1.2.3.4:5\n", "no section binds"},
+  };
+  for (const auto& [text, wanted] : cases) {
+    Import import;
+    std::string why;
+    EXPECT_FALSE(ImportHaproxy(text, &import, &why)) << text;
+    EXPECT_TRUE(why.starts_with(wanted)) << why;
+  }
+}
+
+TEST(Haproxy, ReadsTimesWithUnits) {
+  EXPECT_EQ(HaproxySeconds("1500"), 1.5);
+  EXPECT_EQ(HaproxySeconds("2m"), 120);
+  EXPECT_EQ(HaproxySeconds("1d"), 86400);
+  for (const char* bad : {"", "s", "5x", "-1s", "inf", "nan"}) EXPECT_FALSE(HaproxySeconds(bad)) << bad;
+}
+
+TEST(Haproxy, OutlivesGarbage) {
+  std::mt19937 random(20261201);
+  for (int round = 0; round < 1000; ++round) {
+    std::string text = kFile;
+    for (int hits = 1 + static_cast<int>(random() % 20); hits > 0; --hits) {
+      text[random() % text.size()] = "\n \"'\\#9a:s"[random() % 11];
+    }
+    Import import;
+    std::string why;
+    Config config;
+    if (ImportHaproxy(text, &import, &why)) {
+      EXPECT_TRUE(ReadConfig(import.config, &config, &why)) << why << "\n" << text;
+    } else {
+      EXPECT_FALSE(why.empty());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace millethollow
--- /dev/null
+++ b/tests/link_test.cpp
@@ -0,0 +1,153 @@
+// The link between the two levels: its frames, and a planner and a forwarder joined by it.
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <random>
+
+#include "net/link/frame.h"
+#include "support.h"
+
+namespace millethollow {
+namespace {
+
+using link::Cutter;
+using link::Kind;
+using link::Reader;
+using link::Writer;
+
+TEST(LinkFrames, ComeBackWholeHoweverCut) {
+  std::mt19937 random(20261201);
+  Outcome outcome{.verdict = Verdict::kTurnedAway, .latency_s = 0.5, .has_report = true};
+  outcome.report[3] = 7;
+  const decksail::Member member{.worker = "w", .readiness = decksail::Readiness::kDraining,
+                                .zone = 1, .kind = 2, .cell = -3, .capacity = 0.5, .born_s = 9};
+  const std::string stream =
+      Writer(Kind::kEnded).U64(1ull << 60).I32(-4).Put(outcome).Done() +
+      Writer(Kind::kNextHop).Put(member).Text(std::string(300, 'x')).Done();
+  for (int round = 0; round < 200; ++round) {
+    Cutter cutter;
+    std::vector<std::string> frames;
+    for (std::size_t at = 0; at < stream.size();) {
+      const std::string_view part = std::string_view(stream).substr(at, 1 + random() % 30);
+      cutter.Feed(part);
+      at += part.size();
+      while (const auto frame = cutter.Take()) frames.push_back(*frame);
+    }
+    ASSERT_EQ(frames.size(), 2u);
+    Reader ended(frames[0]), hop(frames[1]);
+    EXPECT_EQ(ended.kind(), Kind::kEnded);
+    EXPECT_EQ(ended.U64(), 1ull << 60);
+    EXPECT_EQ(ended.I32(), -4);
+    EXPECT_EQ(ended.GetOutcome().report[3], 7);
+    EXPECT_TRUE(ended.Whole());
+    const decksail::Member m = hop.GetMember();
+    EXPECT_EQ(m.cell, -3);
+    EXPECT_EQ(m.readiness, decksail::Readiness::kDraining);
+    EXPECT_FALSE(hop.Whole());
+    EXPECT_EQ(hop.Text().size(), 300u);
+    EXPECT_TRUE(hop.Whole());
+    EXPECT_EQ(hop.U64(), 0u);
+    EXPECT_FALSE(hop.ok());
+  }
+}
+
+TEST(LinkFrames, OutliveGarbage) {
+  std::mt19937 random(20261201);
+  for (int round = 0; round < 2000; ++round) {
+    std::string text = Writer(Kind::kTaken).U64(1).Text("abc").Real(2).Done();
+    for (int hits = 1 + static_cast<int>(random() % 4); hits > 0; --hits) {
+      text[random() % text.size()] = static_cast<char>(random());
+    }
+    Cutter cutter;
+    cutter.Feed(text);
+    while (const auto frame = cutter.Take()) {
+      Reader reader(*frame);
+      reader.GetMember();
+      reader.GetOutcome();
+    }
+  }
+}
+
+// A planner, a forwarder, and one worker, each on a loop of its own.
+struct Levels {
+  Levels() : worker(&host) {
+    LogLevel() = Level::kError;
+    char folder[] = "/tmp/millethollow-test-XXXXXX";
+    path = mkdtemp(folder);
+    std::string why;
+    EXPECT_TRUE(ReadConfig(TestConfig({worker.address()}, R"("levels":{"link":")" + path + "\"},"),
+                           &config, &why)) << why;
+    StartPlanner();
+    forwarder = std::make_unique<Node>(config, Role{Role::Kind::kForwarder, 0});
+    EXPECT_TRUE(forwarder->Start(&why)) << why;
+    client = std::make_unique<Raw>(&host, forwarder->http_address());
+  }
+  ~Levels() {
+    unlink(PlannerPath(config, 0).c_str());
+    rmdir(path.c_str());
+  }
+  void StartPlanner() {
+    std::string why;
+    planner = std::make_unique<Node>(config, Role{Role::Kind::kPlanner, 0});
+    EXPECT_TRUE(planner->Start(&why)) << why;
+  }
+  template <typename Done>
+  bool Until(Done done, double most_s = 5) {
+    const double until = host.Now() + most_s;
+    while (!done() && host.Now() < until) {
+      for (Loop* loop : {&host, &forwarder->loop(), planner ? &planner->loop() : &host}) {
+        loop->deadlines().At(loop->Now() + 0.001, [] {});
+        loop->Turn();
+      }
+    }
+    return done();
+  }
+  // Asks once; gives the answer's head and body.
+  std::string Ask(const std::string& bytes) {
+    client->in.clear();
+    client->Write(bytes);
+    Until([&] { return client->in.find("\r\n\r\n") != std::string::npos; });
+    return client->in;
+  }
+  bool Serving() {
+    return Until([&] { return Ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200"); });
+  }
+  Loop host;
+  ToyWorker worker;
+  std::string path;
+  Config config;
+  std::unique_ptr<Node> planner, forwarder;
+  std::unique_ptr<Raw> client;
+};
+
+TEST(TwoLevels, ServeAcrossTheLink) {
+  Levels levels;
+  ASSERT_TRUE(levels.Serving());
+  EXPECT_TRUE(levels.Ask(Post("a1", "look")).ends_with("\r\n\r\nok"));
+  EXPECT_EQ(levels.planner->counters().served, 1u);
+}
+
+TEST(TwoLevels, ALostPlannerFailsWhatMayHaveRunAndDefersTheRest) {
+  Levels levels;
+  ASSERT_TRUE(levels.Serving());
+  levels.worker.act = [](const ToyWorker::Got&) {};
+  levels.client->in.clear();
+  levels.client->Write(Post("a1", "look"));
+  ASSERT_TRUE(levels.Until([&] { return levels.worker.got.size() == 1; }));
+  levels.planner.reset();
+  ASSERT_TRUE(levels.Until([&] { return !levels.client->in.empty(); }));
+  EXPECT_TRUE(levels.client->in.starts_with("HTTP/1.1 502")) << levels.client->in;
+  EXPECT_TRUE(levels.Ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"));
+  const std::string in = levels.Ask(Post("a2", "look"));
+  EXPECT_TRUE(in.starts_with("HTTP/1.1 503")) << in;
+  EXPECT_NE(in.find("Retry-After"), std::string::npos);
+  // One that comes back is found again.
+  levels.StartPlanner();
+  levels.worker.act = [](const ToyWorker::Got& g) { ToyWorker::Done(g, "ok"); };
+  ASSERT_TRUE(levels.Serving());
+  EXPECT_TRUE(levels.Ask(Post("a3", "look")).ends_with("\r\n\r\nok"));
+}
+
+}  // namespace
+}  // namespace millethollow
