--- a/src/node.cpp
+++ b/src/node.cpp
@@ -188,10 +188,10 @@
   const Counters& c = counters_;
   std::ostringstream line;
   line << "counters " << config_.name << " taken=" << c.taken << " sent=" << c.sent
-      << " served=" << c.served << " deferred=" << c.deferred << " failed=" << c.failed
-      << " gone=" << c.gone << " probes=" << c.probes << " blocked=" << c.blocked
-      << " bad_input=" << c.bad_input << " peers_in=" << c.peers_in << " peers_out=" << c.peers_out
-      << " lists=" << c.lists;
+       << " served=" << c.served << " deferred=" << c.deferred << " failed=" << c.failed
+       << " gone=" << c.gone << " probes=" << c.probes << " blocked=" << c.blocked
+       << " bad_input=" << c.bad_input << " peers_in=" << c.peers_in << " peers_out=" << c.peers_out
+       << " lists=" << c.lists;
   if (front_) line << " senders=" << front_->connections() << " next_hops=" << pool_->connections();
   if (server_) line << " forwarders=" << server_->forwarders();
   line << '\n';
