Hold back a sender that reads nothing; end turns under load; tidy bounds

Seen: a new test, one sender that pipelines 400 requests and reads no answer, never ended. A debugger on the spinning process showed libevent's deferred read callback of that connection scheduling itself anew from within (bufferevent_run_readcb_ from the deferred run): with a high read watermark and deferred callbacks, bytes left over the mark call the reader for ever, and no deadline is swept. Ruled out: our own callbacks (OnRead returned at once, nothing was written). Faulty line: bufferevent_setwatermark in Connection::Attach. The connection now stops and resumes reading by itself; and a turn is broken off after 20 ms at most, since EVLOOP_ONCE runs on while callbacks keep coming. Also from review: the next request is read only when the last answer is out; a watch on discovery is given up 2 s after its wait (a changed list counts as told by then); Gearman workers' names are used again; results kept for repeats drop the oldest; the node flushes Gearman's last answers before it ends; 'name' must be a plain word.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -149,6 +149,11 @@
       !Read(link, "forwarders", &c->forwarders, why)) {
     return false;
   }
+  // It goes into handles and lines of both protocols.
+  const auto odd = [](char ch) { return ch <= ' ' || ch >= 0x7f; };
+  if (std::any_of(c->name.begin(), c->name.end(), odd) || c->name.size() > 64) {
+    return *why = "configuration: 'name' must be one plain word", false;
+  }
   if (c->sockets < 32) return *why = "configuration: fewer than 32 sockets allowed", false;
   if (c->planners < 1 || c->forwarders < 1 || c->planners > 64 || c->forwarders > 64) {
     return *why = "configuration: levels: 1 to 64 planners and forwarders", false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -55,7 +55,17 @@
   bev_.reset(
       bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   bufferevent_setcb(
-      bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->OnRead(); },
+      bev_.get(),
+      [](bufferevent*, void* arg) {
+        auto* self = static_cast<Connection*>(arg);
+        if (self->closed()) return;
+        self->OnRead();
+        // Held back by hand. With libevent's own high watermark and deferred callbacks, a reader
+        // that leaves bytes over the mark is called again at once, for ever, and no turn ends.
+        if (self->Available() < kMostBuffered || self->held_back_) return;
+        self->held_back_ = true;
+        bufferevent_disable(self->bev_.get(), EV_READ);
+      },
       [](bufferevent*, void* arg) {
         // libevent also calls when a fresh socket turns writable, by then perhaps with an answer
         // queued: taken for drained, that answer was once shut off before it went out.
@@ -69,7 +79,6 @@
         self->OnEnd((what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
       },
       this);
-  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kMostBuffered);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
 }
 
@@ -131,6 +140,13 @@
 void Connection::Consume(std::size_t n) {
   in_ += n;
   evbuffer_drain(bufferevent_get_input(bev_.get()), n);
+  if (!held_back_ || Available() >= kMostBuffered) return;
+  held_back_ = false;
+  bufferevent_enable(bev_.get(), EV_READ);
+}
+
+void Connection::StopReading() {
+  if (bev_ != nullptr) bufferevent_disable(bev_.get(), EV_READ);
 }
 
 void Connection::EndSending() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -39,6 +39,7 @@
   int descriptor() const;
   std::string PeerAddress() const;
   bool closed() const { return bev_ == nullptr; }
+  void StopReading();  // what comes in stays with the kernel, and so with the sender
   // Ends the connection with its one log line. The object lives on until its owner drops it.
   void Close(const char* reason);
 
@@ -60,6 +61,7 @@
   const char* what_;
   std::unique_ptr<bufferevent, BufferFree> bev_;
   std::size_t in_ = 0, out_ = 0;
+  bool held_back_ = false;
   double began_ = 0;
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -17,7 +17,9 @@
 
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 constexpr double kConnectS = 1.0;
-constexpr double kCallS = 4.0;     // past its own wait, a call is given up after this
+constexpr double kCallS = 4.0;  // a call that does not wait is given up after this
+// What a watch had to tell counts as told this long after its wait: silence may not last longer.
+constexpr double kPastWaitS = 2.0;
 constexpr double kMostWaitS = 20;  // of one watch
 
 int IndexOf(const std::vector<std::string>& names, const Json& entry, const char* field) {
@@ -177,7 +179,7 @@
   call->Ask(whole ? "/catalog/members"
                   : "/catalog/members?after=" + std::to_string(version_) +
                         "&wait_ms=" + std::to_string(wait_ms),
-            wait_s + kCallS);
+            wait_s > 0 ? wait_s + kPastWaitS : kCallS);
 }
 
 void Discovery::Answered(DiscoveryCall* call, int status, const std::string& body, bool whole) {
--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -41,8 +41,12 @@
 // One connection. It may be a client, a worker, an administrator, or all of them.
 class Peer final : public Connection {
  public:
-  Peer(Front* front, Loop* loop, evutil_socket_t fd, std::string name, int cell)
-      : Connection(loop, "gearman"), front_(front), name_(std::move(name)), cell_(cell) {
+  Peer(Front* front, Loop* loop, evutil_socket_t fd, std::string name, int slot, int cell)
+      : Connection(loop, "gearman"),
+        front_(front),
+        name_(std::move(name)),
+        slot_(slot),
+        cell_(cell) {
     Adopt(fd);
   }
   ~Peer() override {
@@ -50,6 +54,7 @@
   }
 
   const std::string& name() const { return name_; }
+  int slot() const { return slot_; }
   int cell() const { return cell_; }
   const std::string& client_id() const { return client_id_; }
   const std::map<std::string, int>& abilities() const { return abilities_; }
@@ -368,7 +373,7 @@
 
   Front* front_;
   std::string name_, client_id_ = "-", last_assigned_;
-  int cell_;
+  int slot_, cell_;
   Parser parser_{kMostData};
   std::map<std::string, int> abilities_;  // function and time limit in seconds, 0 for none
   std::deque<Task> queue_;
@@ -388,8 +393,13 @@
 void Front::Accept(evutil_socket_t fd) {
   DescriptorBudget& budget = forwarder_->loop()->budget();
   ++sequence_;
+  // A name is used again once its worker is gone: whoever remembers next hops by name must not be
+  // made to remember more with every reconnect. The cell is new each time.
+  int slot = 1;
+  while (slots_.contains(slot)) ++slot;
+  slots_.insert(slot);
   auto peer = std::make_unique<Peer>(this, forwarder_->loop(), fd,
-                                     "gearman-" + config_.name + "-" + std::to_string(sequence_),
+                                     "gearman-" + config_.name + "-" + std::to_string(slot), slot,
                                      kOwnCells + static_cast<int>(sequence_ % kOwnCells));
   Peer* raw = peer.get();
   peers_.emplace(raw, std::move(peer));
@@ -406,7 +416,10 @@
     workers_.erase(peer->name());
   }
   Detach(peer);
-  loop->Later([this, peer] { peers_.erase(peer); });
+  loop->Later([this, peer] {
+    slots_.erase(peer->slot());
+    peers_.erase(peer);
+  });
 }
 
 // A worker is a next hop while it can do one of the functions that the file maps.
@@ -432,6 +445,21 @@
   if (forwarder_->link() != nullptr) forwarder_->link()->NextHopChanged(m);
 }
 
+// Results are kept for their class's window; over the bound, the oldest goes first.
+void Front::MakeRoom() {
+  const double now = forwarder_->loop()->Now();
+  std::erase_if(finished_, [now](const auto& f) { return f.second.until < now; });
+  if (finished_.size() < kMostFinished) return;
+  finished_.erase(std::min_element(
+      finished_.begin(), finished_.end(),
+      [](const auto& a, const auto& b) { return a.second.until < b.second.until; }));
+}
+
+bool Front::Flushed() const {
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [](const auto& p) { return p.first->closed() || p.first->Drained(); });
+}
+
 void Front::AnnounceWorkers() {
   for (const auto& [name, worker] : std::map<std::string, Peer*>(workers_)) SetReady(worker);
 }
@@ -477,7 +505,7 @@
       if (!background) job->waiting.push_back(peer);
       return peer->Say(Response(Type::kJobCreated, {job->handle}));
     }
-    std::erase_if(finished_, [now](const auto& f) { return f.second.until < now; });
+    MakeRoom();
     const auto ended = finished_.find(key);
     if (ended != finished_.end()) {
       const Finished& f = ended->second;
@@ -583,8 +611,8 @@
     for (const auto& [kind, part] : parts) Tell(*job, Response(kind, {job->handle, part}));
     Tell(*job, Response(Type::kWorkComplete, {job->handle, result}));
     const auto& c = config_.settings.classes[static_cast<std::size_t>(held.envelope.cls)];
-    if (Keyed(held.envelope.cls) && !job->unique.empty() && c.window_s > 0 &&
-        finished_.size() < kMostFinished) {
+    if (Keyed(held.envelope.cls) && !job->unique.empty() && c.window_s > 0) {
+      MakeRoom();
       finished_[{job->function, job->unique}] = {job->handle, result, std::move(parts),
                                                  forwarder_->loop()->Now() + c.window_s};
     }
--- a/src/net/gearman/front.h
+++ b/src/net/gearman/front.h
@@ -48,6 +48,7 @@
   bool Listen(const std::string& address, std::string* why);
   std::string address() const { return listener_.address(); }
   void BeginStop() { stopping_ = true; }
+  bool Flushed() const;    // all that was said has gone out
   void AnnounceWorkers();  // to a planner that has not heard of them
   void StopListening() { listener_.Close(); }
 
@@ -83,6 +84,7 @@
   void Tell(const Job& job, const std::string& packet);
   void AdminLine(Peer* peer, const std::string& line);
   void SetReady(Peer* worker);
+  void MakeRoom();
 
   Forwarder* forwarder_;
   const Config& config_;
@@ -95,6 +97,7 @@
   std::map<Unique, std::shared_ptr<Job>> uniques_;
   std::map<Unique, Finished> finished_;
   std::map<std::pair<EnvelopeId, int>, std::vector<std::pair<Type, std::string>>> parts_;
+  std::set<int> slots_;  // of the workers' names that are taken
   std::size_t body_bytes_ = 0;
   std::uint64_t sequence_ = 0;
   bool stopping_ = false;
--- a/src/net/http/next_hop_pool.cpp
+++ b/src/net/http/next_hop_pool.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 using Json = nlohmann::json;
-constexpr std::size_t kMostAnswer = 512 * 1024;  // of one next hop's whole answer
+constexpr std::size_t kMostAnswer = 256 * 1024;  // of one next hop's whole answer
 constexpr double kEndS = 1.0;                    // from an outcome to the end of its answer
 constexpr double kRetireShare = 0.6;             // of the idle time after which it closes
 
--- a/src/net/http/sender_front.cpp
+++ b/src/net/http/sender_front.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double kReadS = 30;     // a request must be in within this of its first byte
+constexpr double kWriteS = 30;    // an answer must be out within this
 constexpr double kLingerS = 1.0;  // how long a sender may take to see why it was cut off
 constexpr std::size_t kMostId = 128;
 constexpr std::size_t kMostTimeoutMs = 3'600'000;
@@ -187,7 +188,7 @@
   }
 
  private:
-  enum class State : std::uint8_t { kReading, kWaiting, kClosing, kLingering };
+  enum class State : std::uint8_t { kReading, kWaiting, kWriting, kClosing, kLingering };
 
   void OnRead() override {
     if (state_ == State::kLingering) return Consume(Available());
@@ -255,17 +256,23 @@
                        headers + "Content-Length: " + std::to_string(body.size()) + "\r\n" +
                        (last ? "Connection: close\r\n" : "") + "\r\n" + body;
     Write(text);
-    state_ = last ? State::kClosing : State::kReading;
-    idle_since_ = loop_->Now();
-    // A request may have come in behind this one already.
-    if (!last && Available() > 0) {
-      loop_->Later([front = front_, this] {
-        if (front->senders_.contains(this)) OnRead();
-      });
-    }
+    // The next request is read only once this answer is out: a sender that asks and never reads
+    // would else have its answers pile up here.
+    state_ = last ? State::kClosing : State::kWriting;
+    loop_->deadlines().Drop(&limit_);
+    limit_ = loop_->deadlines().At(loop_->Now() + kWriteS, [this] {
+      limit_ = Deadlines::kNone;
+      Finish("reads-too-slowly");
+    });
   }
 
   void OnDrained() override {
+    if (state_ == State::kWriting) {
+      loop_->deadlines().Drop(&limit_);
+      state_ = State::kReading;
+      idle_since_ = loop_->Now();
+      return OnRead();  // a request may have come in behind the last one already
+    }
     if (state_ != State::kClosing) return;
     if (!linger_) return Finish("answered-last");
     state_ = State::kLingering;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -10,6 +10,8 @@
 namespace millethollow {
 namespace {
 
+constexpr double kMostTurnS = 0.02;
+
 template <typename Clock>
 double Seconds() {
   return std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
@@ -21,8 +23,11 @@
   // A peer that breaks off while we write to it must end its connection, not the process.
   std::signal(SIGPIPE, SIG_IGN);
   if (base_ == nullptr) throw std::runtime_error("no event loop to be had");
-  tick_.reset(event_new(
-      base_.get(), -1, 0, [](evutil_socket_t, short, void*) {}, nullptr));
+  // Under steady load libevent goes on without end: the tick breaks off, so that the sweep comes.
+  const event_callback_fn end_turn = [](evutil_socket_t, short, void* base) {
+    event_base_loopbreak(static_cast<event_base*>(base));
+  };
+  tick_.reset(event_new(base_.get(), -1, 0, end_turn, base_.get()));
   wall_at_start_ = Seconds<std::chrono::system_clock>();
   steady_at_start_ = Seconds<std::chrono::steady_clock>();
 }
@@ -32,8 +37,8 @@
 }
 
 void Loop::Turn() {
-  double wait = 1.0;
-  if (const auto next = deadlines_.Next()) wait = std::clamp(*next - Now(), 0.0, 1.0);
+  double wait = kMostTurnS;
+  if (const auto next = deadlines_.Next()) wait = std::clamp(*next - Now(), 0.0, kMostTurnS);
   timeval tv{};
   tv.tv_sec = static_cast<time_t>(wait);
   tv.tv_usec = static_cast<suseconds_t>(std::ceil((wait - std::floor(wait)) * 1e6));
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -11,6 +11,7 @@
 
 constexpr double kStopAfterS = 0.5;  // new connections still come for up to 0.4 s after SIGTERM
 constexpr double kStopCheckS = 0.02;
+constexpr double kFlushS = 2.0;
 
 }  // namespace
 
@@ -178,7 +179,10 @@
 void Node::CheckStopped() {
   const bool done = forwarder_ ? forwarder_->open() == 0 && front_->connections() == 0
                                : planner_->open_envelopes() == 0;
-  if (done) return loop_.Stop();
+  // A last answer may still be on its way out to a peer that reads slowly.
+  const bool flushed = !gearman_ || gearman_->Flushed() || loop_.Now() > flush_until_;
+  if (done && flushed) return loop_.Stop();
+  if (!done) flush_until_ = loop_.Now() + kFlushS;
   loop_.deadlines().At(loop_.Now() + kStopCheckS, [this] { CheckStopped(); });
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -69,6 +69,7 @@
   std::unique_ptr<link::PlannerClient> client_;
   EventPtr term_, interrupt_, usr1_;
   bool stopping_ = false;
+  double flush_until_ = 0;
 };
 
 }  // namespace millethollow
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -107,6 +107,25 @@
   EXPECT_TRUE(rig.Ask("GET /_health HTTP/1.1\r\n\r\n", "serving").starts_with("HTTP/1.1 200"));
 }
 
+// A sender that asks again and again and reads nothing is held back, not stored.
+TEST(HttpFront, HoldsBackASenderThatReadsNothing) {
+  Rig rig(1);
+  const std::string large(60000, 'x');
+  rig.workers[0]->act = [&](const ToyWorker::Got& g) { ToyWorker::Done(g, large); };
+  auto client = rig.Client();
+  client->StopReading();
+  std::string many;
+  for (int i = 0; i < 400; ++i) many += Post("a" + std::to_string(i), "look", "", "{}", 60000);
+  client->Write(many);
+  std::uint64_t before = 0;
+  rig.Until([&] {
+    rig.Until([] { return false; }, 0.2);
+    return std::exchange(before, rig.node->counters().taken) == rig.node->counters().taken;
+  }, 30);
+  EXPECT_GT(before, 0u);
+  EXPECT_LT(before, 400u);
+}
+
 TEST(HttpFront, EndsTheAttemptWhenTheSenderLeaves) {
   Rig rig;
   for (auto& w : rig.workers) w->act = [](const ToyWorker::Got&) {};
