Let any freed descriptor resume every front; close two holes of the Gearman front

From review: a listener paused for want of descriptors was resumed only by its own front's connections; a peer closed for reading too slowly while JOB_CREATED was written could stay on its job's list.

--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -386,6 +386,7 @@
 Front::~Front() = default;
 
 bool Front::Listen(const std::string& address, std::string* why) {
+  forwarder_->loop()->OnSenderFreed([this] { listener_.Resume(); });
   return listener_.Open(
       forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why);
 }
@@ -409,8 +410,7 @@
 
 void Front::Drop(Peer* peer) {
   Loop* loop = forwarder_->loop();
-  loop->budget().senders -= 1;
-  listener_.Resume();
+  loop->SenderFreed();
   if (workers_.contains(peer->name())) {
     SetReady(peer);
     workers_.erase(peer->name());
@@ -541,22 +541,22 @@
   if (!config_.tenants.empty()) {
     held.pass_on += "Tenant: " + config_.tenants[static_cast<std::size_t>(tenant)] + "\r\n";
   }
-  peer->Say(Response(Type::kJobCreated, {job->handle}));
+  if (!background) job->waiting.push_back(peer);
   job->envelope = stopping_ && !listener_.open() ? 0 : forwarder_->Take(std::move(held), this);
   if (job->envelope == 0) {
-    if (!background) {
-      if (peer->exceptions()) {
-        peer->Say(Response(Type::kWorkException, {job->handle, "deferred: not taking jobs"}));
-      }
-      peer->Say(Response(Type::kWorkFail, {job->handle}));
+    peer->Say(Response(Type::kJobCreated, {job->handle}));
+    if (background) return;
+    if (peer->exceptions()) {
+      peer->Say(Response(Type::kWorkException, {job->handle, "deferred: not taking jobs"}));
     }
-    return;
+    return peer->Say(Response(Type::kWorkFail, {job->handle}));
   }
-  if (!background) job->waiting.push_back(peer);
   body_bytes_ += body.size();
   jobs_[job->envelope] = job;
   handles_[job->handle] = job;
   if (!job->unique.empty()) uniques_[key] = job;
+  // Only now: a peer that takes no more bytes is closed here, and must find its job to leave it.
+  peer->Say(Response(Type::kJobCreated, {job->handle}));
 }
 
 // The client has gone. A job that nobody waits for any more is called off, unless it is a charge
--- a/src/net/http/sender_front.cpp
+++ b/src/net/http/sender_front.cpp
@@ -314,6 +314,7 @@
 SenderFront::~SenderFront() = default;
 
 bool SenderFront::Listen(const std::string& address, bool shared, std::string* why) {
+  forwarder_->loop()->OnSenderFreed([this] { listener_.Resume(); });
   return listener_.Open(
       forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why, shared);
 }
@@ -340,8 +341,7 @@
 
 void SenderFront::Drop(SenderConnection* sender) {
   Loop* loop = forwarder_->loop();
-  loop->budget().senders -= 1;
-  listener_.Resume();
+  loop->SenderFreed();
   loop->Later([this, sender] { senders_.erase(sender); });
 }
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -31,7 +32,10 @@
   loop_ = loop;
   accepted_ = std::move(accepted);
   unlink(path.c_str());  // left there by a process that died
-  return Bind(reinterpret_cast<const sockaddr*>(&*address), sizeof *address, 0, path, why);
+  const bool bound =
+      Bind(reinterpret_cast<const sockaddr*>(&*address), sizeof *address, 0, path, why);
+  if (bound) chmod(path.c_str(), 0600);  // forwarders are of the same user
+  return bound;
 }
 
 bool Listener::Bind(const sockaddr* address, int size, unsigned flags, const std::string& name,
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -36,6 +36,11 @@
   return wall_at_start_ + (Seconds<std::chrono::steady_clock>() - steady_at_start_);
 }
 
+void Loop::SenderFreed() {
+  budget_.senders -= 1;
+  for (const auto& what : sender_freed_) what();
+}
+
 void Loop::Turn() {
   double wait = kMostTurnS;
   if (const auto next = deadlines_.Next()) wait = std::clamp(*next - Now(), 0.0, kMostTurnS);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -45,6 +45,10 @@
   // and the list's start times, which are Unix time, compare with it directly.
   double Now() const;
 
+  // Every front counts its senders here: one that gives a descriptor back may let another accept.
+  void OnSenderFreed(std::function<void()> what) { sender_freed_.push_back(std::move(what)); }
+  void SenderFreed();
+
   // Runs at the end of this turn: where connections are destroyed, never within a callback of
   // theirs.
   void Later(std::function<void()> what) { later_.push_back(std::move(what)); }
@@ -57,7 +61,7 @@
   EventPtr tick_;
   Deadlines deadlines_;
   DescriptorBudget budget_;
-  std::vector<std::function<void()>> later_;
+  std::vector<std::function<void()>> later_, sender_freed_;
   double wall_at_start_ = 0, steady_at_start_ = 0;
   bool stopped_ = false;
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -250,6 +250,54 @@
   EXPECT_NE(client->Of(Type::kWorkException)[0].find("retry after"), std::string::npos);
 }
 
+// What an attempt sent ahead before it failed must not mix with the answer of the next.
+TEST(Gearman, PassesOnTheDataOfTheAttemptThatSucceeded) {
+  Rig rig(0, kGearman);
+  auto one = rig.Gearman(), two = rig.Gearman(), client = rig.Gearman();
+  int assigned = 0;
+  for (auto* w : {one.get(), two.get()}) {
+    w->WorkOn("look", "unused");
+    w->act = [&assigned, w](const gearman::Message& m) {
+      if (m.type == Type::kNoop) w->Say(Type::kGrabJob, {});
+      if (m.type != Type::kJobAssign) return;
+      const std::string handle = m.data.substr(0, m.data.find('\0'));
+      const std::string part = ++assigned == 1 ? "lost" : "kept";
+      w->Say(Type::kWorkStatus, {handle, "1", "2"});
+      w->Say(Type::kWorkData, {handle, part});
+      if (part == "lost") return w->Say(Type::kWorkFail, {handle});
+      w->Say(Type::kWorkWarning, {handle, "w"});
+      w->Say(Type::kWorkComplete, {handle, "end"});
+    };
+  }
+  client->Say(Type::kSubmitJob, {"look", "u", "b"});
+  ASSERT_TRUE(rig.Until([&] { return client->Of(Type::kWorkComplete).size() == 1; }));
+  EXPECT_EQ(assigned, 2);
+  ASSERT_EQ(client->Of(Type::kWorkData).size(), 1u);
+  EXPECT_TRUE(client->Of(Type::kWorkData)[0].ends_with("kept"));
+  EXPECT_EQ(client->Of(Type::kWorkWarning).size(), 1u);
+  EXPECT_FALSE(client->Of(Type::kWorkStatus).empty());
+}
+
+TEST(Gearman, KeepsABackgroundJobWhoseClientLeft) {
+  Rig rig(0, kGearman);
+  auto worker = rig.Gearman(), client = rig.Gearman(), other = rig.Gearman();
+  std::string handle;
+  worker->WorkOn("look", "unused");
+  worker->act = [&](const gearman::Message& m) {
+    if (m.type == Type::kNoop) worker->Say(Type::kGrabJob, {});
+    if (m.type == Type::kJobAssign) handle = m.data.substr(0, m.data.find('\0'));
+  };
+  client->Say(Type::kSubmitJobLowBg, {"look", "u", "b"});
+  ASSERT_TRUE(rig.Until([&] { return !handle.empty(); }));
+  client->Close("test");
+  rig.Until([] { return false; }, 0.05);
+  other->Say(Type::kGetStatus, {handle});
+  ASSERT_TRUE(rig.Until([&] { return other->Of(Type::kStatusRes).size() == 1; }));
+  EXPECT_EQ(other->Of(Type::kStatusRes)[0].substr(handle.size() + 1, 3), std::string("1\0001", 3));
+  worker->Say(Type::kWorkComplete, {handle, "r"});
+  EXPECT_TRUE(rig.Until([&] { return rig.node->counters().served == 1; }));
+}
+
 // The client of a running charge leaves and comes back: it finds the same charge, made once.
 TEST(Gearman, AChargeWhoseClientLeavesMidRunIsMadeOnce) {
   Rig rig(0, kGearman);
