Call discovery's list the transport map; bound the wait before asking again

The house term in the types. The wait after a failed call grew by a fixed second, which would pass ask_within_s where that is short: it is a share of it now, with a test that also checks that watches are chained within 200 ms.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -38,14 +38,14 @@
 
 }  // namespace
 
-std::vector<decksail::Member> MemberList::Members() const {
+std::vector<decksail::Member> TransportMap::Members() const {
   std::vector<decksail::Member> members;
   for (const ListEntry& e : entries) members.push_back(e.member);
   return members;
 }
 
-bool ReadMemberList(std::string_view text, const std::vector<std::string>& zones,
-                    const std::vector<std::string>& kinds, MemberList* list, std::string* why) {
+bool ReadTransportMap(std::string_view text, const std::vector<std::string>& zones,
+                      const std::vector<std::string>& kinds, TransportMap* list, std::string* why) {
   const Json object = Json::parse(text, nullptr, false);
   if (!object.is_object()) return *why = "the list is not a JSON object", false;
   const auto servers = object.find("servers");
@@ -183,9 +183,9 @@
 }
 
 void Discovery::Answered(DiscoveryCall* call, int status, const std::string& body, bool whole) {
-  MemberList list;
+  TransportMap list;
   std::string why;
-  if (status != 200 || !ReadMemberList(body, options_.zones, options_.kinds, &list, &why)) {
+  if (status != 200 || !ReadTransportMap(body, options_.zones, options_.kinds, &list, &why)) {
     return Failed(call, status != 200 ? "status" : why.c_str(), whole);
   }
   failures_ = 0;
@@ -213,7 +213,7 @@
     const double most = 0.4 * options_.ask_within_s;
     const double wait = std::min(most, 0.5 * (1 << failures_)) * (0.75 + 0.5 * unit);
     loop_->deadlines().Drop(&retry_);
-    retry_ = loop_->deadlines().At(loop_->Now() + wait + 1.0, [this] {
+    retry_ = loop_->deadlines().At(loop_->Now() + wait + 0.1 * options_.ask_within_s, [this] {
       retry_ = Deadlines::kNone;
       Subscribe(true);
     });
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -19,7 +19,7 @@
   std::size_t most_out = 0;  // requests out at once that it may have of a forwarder; 0: any
 };
 
-struct MemberList {
+struct TransportMap {
   long long version = 0;
   bool full = false;
   std::vector<ListEntry> entries;
@@ -28,8 +28,8 @@
 
 // Reads a list in discovery's form. False, with `why`, where the whole is unusable; single bad
 // entries are left out.
-bool ReadMemberList(std::string_view text, const std::vector<std::string>& zones,
-                    const std::vector<std::string>& kinds, MemberList* list, std::string* why);
+bool ReadTransportMap(std::string_view text, const std::vector<std::string>& zones,
+                      const std::vector<std::string>& kinds, TransportMap* list, std::string* why);
 
 class DiscoveryCall;
 
@@ -42,7 +42,7 @@
     std::uint64_t seed = 0;
   };
   struct Hooks {
-    std::function<void(decksail::ListKind, const MemberList&)> known;
+    std::function<void(decksail::ListKind, const TransportMap&)> known;
     std::function<void()> unavailable;
   };
   Discovery(Loop* loop, Options options, Hooks hooks);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -81,12 +81,12 @@
                            .kinds = config_.kinds,
                            .seed = seed},
         Discovery::Hooks{
-            .known = [this](decksail::ListKind kind, const MemberList& l) { OnList(kind, l); },
+            .known = [this](decksail::ListKind kind, const TransportMap& l) { OnList(kind, l); },
             .unavailable = [this] { planner_->ListKnown(decksail::ListKind::kUnavailable, {}); }});
   }
-  MemberList known;
+  TransportMap known;
   if (config_.known != "{}" &&
-      !ReadMemberList(config_.known, config_.zones, config_.kinds, &known, why)) {
+      !ReadTransportMap(config_.known, config_.zones, config_.kinds, &known, why)) {
     return false;
   }
   for (const ListEntry& e : known.entries) SetAddress(e.member.worker, e.address, e.most_out);
@@ -157,7 +157,7 @@
   if (server_) server_->SetAddress(next_hop, address, most_out);
 }
 
-void Node::OnList(decksail::ListKind kind, const MemberList& list) {
+void Node::OnList(decksail::ListKind kind, const TransportMap& list) {
   counters_.lists += 1;
   for (const ListEntry& e : list.entries) SetAddress(e.member.worker, e.address, e.most_out);
   planner_->ListKnown(kind, list.Members());
--- a/src/node.h
+++ b/src/node.h
@@ -48,7 +48,7 @@
   bool StartPlanner(std::uint64_t seed, std::string* why);
   bool StartForwarder(std::string* why);
   void SetAddress(const std::string& next_hop, const std::string& address, std::size_t most_out);
-  void OnList(decksail::ListKind kind, const MemberList& list);
+  void OnList(decksail::ListKind kind, const TransportMap& list);
   void CheckStopped();
 
   Config config_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -46,8 +46,8 @@
   World() {
     std::string why;
     EXPECT_TRUE(ReadConfig(TestConfig({"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}), &config, &why));
-    MemberList list;
-    EXPECT_TRUE(ReadMemberList(config.known, config.zones, config.kinds, &list, &why));
+    TransportMap list;
+    EXPECT_TRUE(ReadTransportMap(config.known, config.zones, config.kinds, &list, &why));
     Planner::Hooks hooks;
     hooks.now = [this] { return now; };
     planner = std::make_unique<Planner>(config.settings, 1, &deadlines, hooks, &counters);
@@ -117,6 +117,41 @@
   EXPECT_EQ(w.planner->open_envelopes(), 0u);
 }
 
+// A watch that goes on must be asked for within 200 ms, and after a failure the list may not be
+// left unasked for longer than allowed, whether or not the module asks.
+TEST(Discovery, ChainsItsWatchesAndAsksAgainAfterAFailure) {
+  Loop loop;
+  ToyWorker server(&loop);
+  std::vector<double> asked;
+  server.act = [&](const ToyWorker::Got& g) {
+    asked.push_back(loop.Now());
+    if (asked.size() == 3) return g.from->Close("test");
+    const std::string body = R"({"version":)" + std::to_string(4 + asked.size()) +
+                             R"(,"full":)" + (asked.size() == 1 ? "true" : "false") +
+                             R"(,"servers":[{"id":"w","addr":"127.0.0.1:9"}]})";
+    if (asked.size() < 4) {
+      g.from->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body);
+    }
+  };
+  std::vector<decksail::ListKind> known;
+  int unavailable = 0;
+  Discovery discovery(&loop, {.address = server.address(), .ask_within_s = 1, .zones = {}, .kinds = {}, .seed = 3},
+                      {.known = [&](decksail::ListKind k, const TransportMap&) { known.push_back(k); },
+                       .unavailable = [&] { ++unavailable; }});
+  discovery.SetVersion(2);
+  discovery.Subscribe(true);
+  ASSERT_TRUE(TurnUntil(loop, [&] { return asked.size() == 4; }));
+  EXPECT_EQ(server.got[0].head.target, "/catalog/members?after=2&wait_ms=0");
+  EXPECT_EQ(server.got[1].head.target, "/catalog/members?after=5&wait_ms=1000");
+  EXPECT_EQ(server.got[2].head.target, "/catalog/members?after=6&wait_ms=1000");
+  EXPECT_LT(asked[1] - asked[0], 0.2);
+  EXPECT_LT(asked[2] - asked[1], 0.2);
+  EXPECT_LT(asked[3] - asked[2], 1.0);
+  EXPECT_EQ(known, (std::vector{decksail::ListKind::kReplace, decksail::ListKind::kUpdate}));
+  EXPECT_EQ(unavailable, 1);
+}
+
 TEST(Config, SaysInOneLineWhatIsWrong) {
   const std::string good = TestConfig({});
   const auto why = [](std::string text, const std::string& from, const std::string& to) {
@@ -135,10 +170,10 @@
             std::string::npos);
 }
 
-TEST(MemberList, ReadsStatesAndStarts) {
-  MemberList list;
+TEST(TransportMap, ReadsStatesAndStarts) {
+  TransportMap list;
   std::string why;
-  ASSERT_TRUE(ReadMemberList(R"({"version":43,"full":false,"servers":[{"id":"s","addr":"1.2.3.4:5",
+  ASSERT_TRUE(ReadTransportMap(R"({"version":43,"full":false,"servers":[{"id":"s","addr":"1.2.3.4:5",
       "zone":"b","kind":"m2","cell":3,"state":"terminating","started_ms":1500},{"nameless":1},
       {"id":"t","state":"odd"}]})", {"a", "b"}, {"m1", "m2"}, &list, &why));
   ASSERT_EQ(list.entries.size(), 2u);
@@ -146,7 +181,7 @@
   EXPECT_EQ(list.entries[0].member.kind, 1);
   EXPECT_EQ(list.entries[0].member.born_s, 1.5);
   EXPECT_EQ(list.entries[1].member.readiness, decksail::Readiness::kDraining);
-  EXPECT_FALSE(ReadMemberList("{}", {}, {}, &list, &why));
+  EXPECT_FALSE(ReadTransportMap("{}", {}, {}, &list, &why));
 }
 
 }  // namespace
--- a/tests/haproxy_test.cpp
+++ b/tests/haproxy_test.cpp
@@ -51,8 +51,8 @@
   EXPECT_EQ(c.connect_timeout_s, 0.25);
   EXPECT_EQ(c.settings.most_tries, 3);  // ship takes over the defaults above it
   EXPECT_EQ(c.sockets, 464u);
-  MemberList list;
-  ASSERT_TRUE(ReadMemberList(c.known, c.zones, c.kinds, &list, &why));
+  TransportMap list;
+  ASSERT_TRUE(ReadTransportMap(c.known, c.zones, c.kinds, &list, &why));
   ASSERT_EQ(list.entries.size(), 3u);
   EXPECT_EQ(list.entries[0].member.capacity, 3);
   EXPECT_EQ(list.entries[0].most_out, 4u);
