Test that deadlines are swept under steady load

Loop.SweepsDeadlinesUnderSteadyLoad: callbacks that keep coming hang the loop without the tick's break (checked: it ran into the time limit with that line taken out).

--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -27,6 +27,23 @@
   EXPECT_EQ(ran, "abdc");
 }
 
+// Callbacks that never stop coming once kept a turn from its end, and every deadline from its sweep.
+TEST(Loop, SweepsDeadlinesUnderSteadyLoad) {
+  Loop loop;
+  bufferevent* busy = bufferevent_socket_new(loop.base(), -1, BEV_OPT_DEFER_CALLBACKS);
+  const auto again = [](bufferevent* b, void*) {
+    bufferevent_trigger(b, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+  };
+  bufferevent_setcb(busy, again, nullptr, nullptr, nullptr);
+  again(busy, nullptr);
+  bool swept = false;
+  loop.deadlines().At(loop.Now() + 0.01, [&] { swept = true; });
+  EXPECT_TRUE(TurnUntil(loop, [&] { return swept; }));
+  bufferevent_setcb(busy, nullptr, nullptr, nullptr, nullptr);
+  bufferevent_free(busy);
+  loop.Turn();  // a callback still under way holds it until then
+}
+
 struct Port : ForwarderPort {
   struct Sent {
     EnvelopeId id;
