--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -110,6 +110,12 @@
   ListKind kind = ListKind::kUpdate;
   const std::vector<Member>* members = nullptr;  // may be null where kind is kUnavailable
 };
+// An operator takes a worker out of service or puts it back, whatever the list says meanwhile. It
+// comes back as one that has just started.
+struct Maintenance {
+  std::string_view worker;
+  bool out = false;
+};
 struct JobArrived {
   std::string_view id;
   double expires_s = 0;
@@ -159,7 +165,7 @@
   std::string_view body;
 };
 using Event = std::variant<Started, MembersKnown, JobArrived, StreamBegan, AttemptNote, AttemptEnded,
-                           JobGone, TimerFired, ProbeAnswered, PeerMessage>;
+                           JobGone, TimerFired, ProbeAnswered, PeerMessage, Maintenance>;
 
 // Actions, to be carried out in the order given.
 struct Send {
@@ -211,6 +217,8 @@
 
   // Appends to `actions` what to do about `event`, which happened at `now_s`.
   void Handle(double now_s, const Event& event, Actions* actions);
+  // Is this a worker that gets nothing new now: drained, out by hand, or left out by choice?
+  bool Avoids(std::string_view worker) const;
 
  private:
   class Brain;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -103,6 +103,11 @@
     std::visit([this](const auto& e) { On(e); }, event);
   }
 
+  bool Avoids(std::string_view worker) const {
+    const auto it = index_.find(worker);
+    return it == index_.end() || !workers_[Idx(it->second)].ready || workers_[Idx(it->second)].ejected;
+  }
+
  private:
   // ---- buckets and quotas ----
 
@@ -889,18 +894,34 @@
       Worker& w = workers_[Idx(it->second)];
       const bool restarted = m.born_s > w.born && m.born_s > 0;
       w.Follow(m, static_cast<int>(kind_pace_.size()), zones());
-      if (restarted) {
-        w.ejected = w.probation = false;
-        w.eject_s = w.errors = 0;
-        w.limit = mean_limit_;
-        // Everyone hears of the start at once: a random first part keeps the first jobs apart.
-        w.cold_tokens = random_.Unit();
-        w.cold_at = std::max(now_, w.born);
-      }
+      if (restarted) StartAfresh(w);
     }
     for (std::size_t i = 0; i < workers_.size(); ++i) {
-      if (!listed[i]) workers_[i].ready = false;
+      if (!listed[i]) workers_[i].ready = workers_[i].listed = false;
+    }
+    RemakePools();
+  }
+
+  void StartAfresh(Worker& w) {
+    w.ejected = w.probation = false;
+    w.eject_s = w.errors = 0;
+    w.limit = mean_limit_;
+    w.report_at = w.wait_at = -kInf;
+    // Everyone hears of the start at once: a random first part keeps the first jobs apart.
+    w.cold_tokens = random_.Unit();
+    w.cold_at = std::max(now_, w.born);
+  }
+
+  void On(const Maintenance& e) {
+    const auto it = index_.find(e.worker);
+    if (it == index_.end()) return;
+    Worker& w = workers_[Idx(it->second)];
+    if (!e.out && w.out_by_hand) {
+      w.born = w.back_at = now_;
+      StartAfresh(w);
     }
+    w.out_by_hand = e.out;
+    w.ready = w.listed && !e.out;
     RemakePools();
   }
 
@@ -954,4 +975,6 @@
   brain_->Handle(now_s, event, actions);
 }
 
+bool Balancer::Avoids(std::string_view worker) const { return brain_->Avoids(worker); }
+
 }  // namespace decksail
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -121,7 +121,7 @@
   }
   const Json own_limits = Child(root, "limits");
   if (!Read(root, "name", &c->name, why) || !Read(root, "listen", &c->listen, why) ||
-      !Read(root, "discovery", &c->discovery, why) ||
+      !Read(root, "admin", &c->admin, why) || !Read(root, "discovery", &c->discovery, why) ||
       !Read(root, "peer_listen", &c->peer_listen, why) || !Read(root, "peers", &c->peers, why) ||
       !Read(root, "peers_all", &c->peers_all, why) ||
       !Read(root, "log_level", &c->log_level, why) ||
@@ -175,6 +175,7 @@
   if (config->name.empty()) config->name = env("LB_NAME");
   if (config->listen.empty()) config->listen = env("LB_LISTEN");
   if (config->discovery.empty()) config->discovery = env("LB_DISCOVERY");
+  if (config->admin.empty()) config->admin = env("LB_ADMIN");
   const auto check = [why](const std::string& address, const char* what) {
     if (address.empty() || ParseAddress(address)) return true;
     *why = std::string("configuration: ") + what + " is not an IPv4 address:port: " + address;
@@ -183,8 +184,12 @@
   if (config->listen.empty() && config->gearman_listen.empty()) {
     return *why = "configuration: nothing to listen on", false;
   }
-  return check(config->listen, "listen") && check(config->discovery, "discovery") &&
-         check(config->peer_listen, "peer_listen") && check(config->gearman_listen, "gearman");
+  if (!config->admin.empty() && !config->link.empty()) {
+    return *why = "configuration: 'admin' is for a node of one process, not for 'levels'", false;
+  }
+  return check(config->listen, "listen") && check(config->admin, "admin") &&
+         check(config->discovery, "discovery") && check(config->peer_listen, "peer_listen") &&
+         check(config->gearman_listen, "gearman");
 }
 
 bool ReloadConfig(const std::string& path, Config* config, std::string* why) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -18,7 +18,8 @@
 };
 
 struct Config {
-  std::string name, listen, discovery, peer_listen, peers_all, known = "{}", log_level = "info";
+  std::string name, listen, admin, discovery, peer_listen, peers_all, known = "{}",
+                                                                      log_level = "info";
   std::vector<std::string> peers;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
--- a/src/core/envelope.h
+++ b/src/core/envelope.h
@@ -3,6 +3,7 @@
 #define MILLETHOLLOW_CORE_ENVELOPE_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -48,10 +49,19 @@
   return v == Verdict::kTurnedAway || v == Verdict::kNoConnection || v == Verdict::kNotSent;
 }
 
-// What the program has taken in, sent and answered; printed on SIGUSR1 and at exit.
+// How the jobs of a class ended. Each end is counted once, where the ledger decides it.
+struct ClassCounters {
+  std::uint64_t completed = 0, rejected = 0, failed = 0;
+};
+
+// What the program has taken in, sent and answered; printed on SIGUSR1 and at exit, and the source
+// of the figures at the second address.
 struct Counters {
   std::uint64_t taken = 0, sent = 0, probes = 0, served = 0, deferred = 0, failed = 0, gone = 0,
-                blocked = 0, bad_input = 0, peers_in = 0, peers_out = 0, lists = 0, reloads = 0;
+                blocked = 0, bad_input = 0, peers_in = 0, peers_out = 0, lists = 0, reloads = 0,
+                reload_errors = 0;
+  std::uint64_t written = 0;                     // attempts that went out whole to next hops
+  std::map<std::string, ClassCounters> classes;  // by name, each from the start
 };
 
 }  // namespace millethollow
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -111,6 +111,7 @@
     return;
   }
   counters_->taken += 1;
+  pending_ += 1;
   Entry& entry = ledger_[id];
   entry.wire_id = envelope.wire_id;
   entry.cls = envelope.cls;
@@ -136,6 +137,7 @@
   if (entry == nullptr || entry->answered) return;
   entry->answered = true;  // no answer is owed any more
   counters_->gone += 1;
+  pending_ -= 1;
   deadlines_->Drop(&entry->expiry);
   Post([this, id] {
     const std::string name = std::to_string(id);
@@ -249,6 +251,32 @@
   });
 }
 
+bool Planner::Maintain(const std::string& next_hop, bool out) {
+  const auto it = next_hops_.find(next_hop);
+  if (it == next_hops_.end()) return false;
+  NextHop& hop = it->second;
+  if (out == (hop.out_since >= 0)) return true;
+  hop.out_since = out ? hooks_.now() : -1;
+  hooks_.log(next_hop + (out ? " is taken out by hand" : " is put back by hand"));
+  Post([this, next_hop, out] { Deliver(decksail::Maintenance{next_hop, out}); });
+  return true;
+}
+
+void Planner::NameClasses(std::vector<std::string> names) {
+  class_names_ = std::move(names);
+  for (const std::string& name : class_names_) counters_->classes.try_emplace(name);
+}
+
+std::pair<std::size_t, std::size_t> Planner::Members() const {
+  std::size_t listed = 0, avoided = 0;
+  for (const auto& [name, hop] : next_hops_) {
+    if (hop.member.readiness == Readiness::kGone) continue;
+    listed += 1;
+    avoided += balancer_.Avoids(name);
+  }
+  return {listed, avoided};
+}
+
 void Planner::PeerSaid(int sender, const std::string& body) {
   counters_->peers_in += 1;
   Post([this, sender, body] { Deliver(decksail::PeerMessage{sender, body}); });
@@ -265,6 +293,7 @@
   if (hop.drain_told_at >= 0 && now - hop.drain_told_at > 0.9 * settings_.drain_grace_s) {
     return "drains";
   }
+  if (hop.out_since >= 0 && now - hop.out_since > 0.9 * settings_.drain_grace_s) return "out";
   if (hop.local && hop.forwarder != id >> kForwarderShift) return "elsewhere";
   const decksail::ClassSettings& c = settings_.classes[static_cast<std::size_t>(entry.cls)];
   for (const Attempt& a : entry.attempts) {
@@ -369,16 +398,22 @@
 
 void Planner::Answer(EnvelopeId id, Entry* entry, FinalAnswer answer) {
   entry->answered = true;
+  pending_ -= 1;
   deadlines_->Drop(&entry->expiry);
+  const auto cls = static_cast<std::size_t>(entry->cls);
+  ClassCounters& ends = counters_->classes[cls < class_names_.size() ? class_names_[cls] : ""];
   switch (answer.kind) {
     case FinalAnswer::Kind::kServed:
       counters_->served += 1;
+      ends.completed += 1;
       break;
     case FinalAnswer::Kind::kDeferred:
       counters_->deferred += 1;
+      ends.rejected += 1;
       break;
     case FinalAnswer::Kind::kFailed:
       counters_->failed += 1;
+      ends.failed += 1;
       break;
     case FinalAnswer::Kind::kRejected:
       break;
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -50,8 +50,16 @@
   void LocalNextHop(std::uint64_t forwarder, const decksail::Member& member);
   void ListKnown(decksail::ListKind kind, const std::vector<decksail::Member>& members);
   void PeerSaid(int sender, const std::string& body);
+  // An operator takes a next hop out of service, or puts it back. The state stands over whatever
+  // lists say; one call back undoes any number out. False if no such next hop was ever listed.
+  bool Maintain(const std::string& next_hop, bool out);
+  // The names of the classes, by index, for the figures.
+  void NameClasses(std::vector<std::string> names);
 
   std::size_t open_envelopes() const { return ledger_.size(); }
+  std::size_t pending() const { return pending_; }  // taken and without a final answer yet
+  // Next hops on the list, and those of them that nothing new goes to.
+  std::pair<std::size_t, std::size_t> Members() const;
   const decksail::Settings& settings() const { return settings_; }
 
  private:
@@ -74,6 +82,7 @@
     double drain_told_at = -1;    // when it was first told to drain or be gone; -1: in service
     std::uint64_t forwarder = 0;  // owner, for one that connects by itself
     bool local = false;
+    double out_since = -1;  // when an operator took it out; -1: in service
   };
 
   void Post(std::function<void()> event);
@@ -114,6 +123,8 @@
   std::map<std::string, NextHop> next_hops_;
   std::deque<std::function<void()>> queue_;
   bool running_ = false;
+  std::size_t pending_ = 0;
+  std::vector<std::string> class_names_;
 };
 
 // The link for a forwarder in the planner's own process.
--- /dev/null
+++ b/src/net/admin/admin_server.h
@@ -0,0 +1,49 @@
+// The second address, for the operators' staff and their tools: HTTP/1.1, one call per connection.
+#ifndef MILLETHOLLOW_NET_ADMIN_ADMIN_SERVER_H_
+#define MILLETHOLLOW_NET_ADMIN_ADMIN_SERVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/loop.h"
+
+namespace millethollow::admin {
+
+class AdminConnection;
+
+class AdminServer {
+ public:
+  struct Hooks {
+    std::function<bool()> serving;
+    std::function<std::string()> figures;
+    // Takes a worker out, or puts it back; false if no such worker is known.
+    std::function<bool(const std::string& worker, bool out)> maintain;
+  };
+  // Part of the descriptors that the budget leaves aside. Whoever comes beyond it costs the caller
+  // that has been here longest without a whole call its place: nobody is shut out.
+  static constexpr std::size_t kMostCallers = 24;
+
+  AdminServer(Loop* loop, Hooks hooks);
+  ~AdminServer();
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
+  bool Listen(const std::string& address, std::string* why);
+  std::string address() const;  // as bound
+
+ private:
+  friend class AdminConnection;
+  void Accept();
+  void Drop(AdminConnection* caller);
+
+  Loop* loop_;
+  Hooks hooks_;
+  int fd_ = -1;
+  EventPtr readable_;
+  std::map<AdminConnection*, std::unique_ptr<AdminConnection>> callers_;
+};
+
+}  // namespace millethollow::admin
+
+#endif  // MILLETHOLLOW_NET_ADMIN_ADMIN_SERVER_H_
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -88,6 +88,8 @@
   Attach(fd);
 }
 
+void Connection::Hurry() { bufferevent_priority_set(bev_.get(), Loop::kFirst); }
+
 bool Connection::Connect(const sockaddr_in& address) {
   const evutil_socket_t fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return false;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -53,6 +53,7 @@
  protected:
   Connection(Loop* loop, const char* what) : loop_(loop), what_(what) {}
   void Adopt(evutil_socket_t fd);            // an accepted socket
+  void Hurry();                              // its events go before all others
   bool Connect(const sockaddr_in& address);  // false if it fails at once
   bool ConnectUnix(const std::string& path);
   void EndSending();  // half-closes: the peer can still be read
--- a/src/net/http/next_hop_pool.cpp
+++ b/src/net/http/next_hop_pool.cpp
@@ -154,6 +154,7 @@
     busy_ = true;
     reported_ = false;
     sent_at_ = loop_->Now();
+    written_ = false;
     line_.clear();
     parser_.Reset();
   }
@@ -164,7 +165,15 @@
     if (!busy_) Rest();
   }
 
+  // All that was written has gone to the kernel: the attempt is out whole.
+  void OnDrained() override {
+    if (!busy_ || !connected_ || id_ == 0 || written_) return;
+    written_ = true;
+    if (pool_->options_.counters != nullptr) pool_->options_.counters->written += 1;
+  }
+
   void OnRead() override {
+    OnDrained();  // an answer may be here before word that all was written
     if (!busy_) return Finish("unasked-data");
     while (!closed() && !parser_.done()) {
       const std::string bytes = Peek(16 * 1024);
@@ -289,7 +298,7 @@
   NextHopPool* pool_;
   std::string next_hop_, wire_id_, line_;
   Parser parser_{Parser::Side::kResponse, {.head = 16 * 1024, .body = kMostAnswer}};
-  bool connected_ = false, busy_ = false, reported_ = true;
+  bool connected_ = false, busy_ = false, reported_ = true, written_ = false;
   EnvelopeId id_ = 0;
   int attempt_ = 0;
   double sent_at_ = 0, idle_since_ = 0;
--- a/src/net/http/next_hop_pool.h
+++ b/src/net/http/next_hop_pool.h
@@ -23,6 +23,7 @@
     double idle_s = 60;  // next hops close idle connections after this
     double probe_timeout_s = 0.5;
     std::vector<std::string> columns;  // names of the load report's values, in order
+    Counters* counters = nullptr;
   };
   NextHopPool(Forwarder* forwarder, Options options);
   ~NextHopPool() override;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -23,6 +23,7 @@
   // A peer that breaks off while we write to it must end its connection, not the process.
   std::signal(SIGPIPE, SIG_IGN);
   if (base_ == nullptr) throw std::runtime_error("no event loop to be had");
+  event_base_priority_init(base_.get(), 2);  // ordinary events get the second
   // Under steady load libevent goes on without end: the tick breaks off, so that the sweep comes.
   const event_callback_fn end_turn = [](evutil_socket_t, short, void* base) {
     event_base_loopbreak(static_cast<event_base*>(base));
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -36,6 +36,8 @@
 
 class Loop {
  public:
+  static constexpr int kFirst = 0;  // the priority of events that go before all others
+
   Loop();
   event_base* base() { return base_.get(); }
   Deadlines& deadlines() { return deadlines_; }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -31,6 +31,15 @@
   if (role_.kind != Role::Kind::kPlanner && !StartForwarder(why)) return false;
   if (role_.kind != Role::Kind::kForwarder && !StartPlanner(seed, why)) return false;
   if (role_.kind == Role::Kind::kForwarder) client_->Start();
+  if (!config_.admin.empty()) {
+    admin_ = std::make_unique<admin::AdminServer>(
+        &loop_, admin::AdminServer::Hooks{
+                    .serving = [this] { return planner_ != nullptr && !stopping_; },
+                    .figures = [this] { return Figures(); },
+                    .maintain = [this](const std::string& worker,
+                                       bool out) { return planner_->Maintain(worker, out); }});
+    if (!admin_->Listen(config_.admin, why)) return false;
+  }
   LogLine(Level::kInfo) << "started as " << config_.name;
   return true;
 }
@@ -61,6 +70,7 @@
   hooks.log = [](const std::string& line) { LogLine(Level::kWarn) << "planner: " << line; };
   planner_ =
       std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks, &counters_);
+  planner_->NameClasses(config_.classes);
   if (forwarder_) {
     const std::uint64_t number = planner_->AddForwarder(forwarder_.get(), true);
     local_link_ = std::make_unique<LocalLink>(planner_.get(), number);
@@ -104,7 +114,8 @@
   pool_ = std::make_unique<http::NextHopPool>(
       forwarder_.get(), http::NextHopPool::Options{.connect_timeout_s = config_.connect_timeout_s,
                                                    .idle_s = config_.conn_idle_s,
-                                                   .columns = config_.columns});
+                                                   .columns = config_.columns,
+                                                   .counters = &counters_});
   forwarder_->AddDriver(pool_.get());
   http::Names names{.classes = config_.classes, .tenants = config_.tenants, .keyed = {}};
   if (config_.settings.retry_after) {
@@ -164,7 +175,6 @@
 
 // Whatever is under way goes on. A file that can't be used changes nothing.
 void Node::Reload() {
-  counters_.reloads += 1;
   Config fresh = config_;
   std::string why;
   TransportMap known;
@@ -173,8 +183,10 @@
       (fixed && fresh.known != "{}" &&
        !ReadTransportMap(fresh.known, config_.zones, config_.kinds, &known, &why))) {
     LogLine(Level::kError) << why << "; the old one stays";
+    counters_.reload_errors += 1;
     return;
   }
+  counters_.reloads += 1;
   config_ = std::move(fresh);
   LogLevel() = LevelOf(config_.log_level);
   LogLine(Level::kInfo) << "configuration read again";
@@ -230,8 +242,29 @@
        << " lists=" << c.lists << " reloads=" << c.reloads;
   if (front_) line << " senders=" << front_->connections() << " next_hops=" << pool_->connections();
   if (server_) line << " forwarders=" << server_->forwarders();
-  line << '\n';
+  line << '\n' << Figures();
   out << line.str() << std::flush;
 }
 
+std::string Node::Figures() const {
+  std::ostringstream out;
+  for (const auto& [name, c] : counters_.classes) {
+    if (name.empty()) continue;
+    const std::string at = "app.downstream_requests." + name + ".";
+    out << at << "completed:" << c.completed << "|c\n"
+        << at << "rejected:" << c.rejected << "|c\n"
+        << at << "failed:" << c.failed << "|c\n";
+  }
+  out << "app.upstream_requests:" << counters_.written << "|c\n";
+  if (planner_) {
+    const auto [members, avoided] = planner_->Members();
+    out << "app.pending:" << planner_->pending() << "|g\n"
+        << "app.members:" << members << "|g\n"
+        << "app.members_unavailable:" << avoided << "|g\n";
+  }
+  out << "app.config_reloads:" << counters_.reloads << "|c\n"
+      << "app.config_reload_errors:" << counters_.reload_errors << "|c\n";
+  return out.str();
+}
+
 }  // namespace millethollow
--- a/src/node.h
+++ b/src/node.h
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "core/planner.h"
+#include "net/admin/admin_server.h"
 #include "net/discovery.h"
 #include "net/forwarder.h"
 #include "net/gearman/front.h"
@@ -40,6 +41,8 @@
   void Run();  // until it has stopped
   void BeginStop();
   void PrintCounters(std::ostream& out) const;
+  std::string Figures() const;  // one a line, as at the second address
+  std::string admin_address() const { return admin_->address(); }
 
   Loop& loop() { return loop_; }
   std::string http_address() const { return front_->address(); }
@@ -69,6 +72,7 @@
   std::unique_ptr<http::SenderFront> front_;
   std::unique_ptr<gearman::Front> gearman_;
   std::unique_ptr<link::PlannerClient> client_;
+  std::unique_ptr<admin::AdminServer> admin_;
   EventPtr term_, interrupt_, usr1_, hangup_;
   std::string config_path_;
   bool stopping_ = false;
--- a/src/state.h
+++ b/src/state.h
@@ -19,7 +19,8 @@
 struct Worker {
   std::string name;
   std::uint64_t hash = 0;
-  bool ready = false;  // the list says ready
+  bool ready = false;  // the list says ready and no operator has it out
+  bool listed = false, out_by_hand = false;
   int zone = 0, kind = 0, cell = 0;
   double capacity = 1, born = 0;
   double out = 0;     // own slots out
@@ -33,16 +34,17 @@
   // Health.
   double heard_at = -kInf, probed_at = -kInf, eject_until = -kInf, eject_s = 0, errors = 0;
   bool ejected = false, probation = false;
-  // Cold budget.
-  double cold_tokens = 0, cold_at = 0;
+  // Cold budget. Put back by hand, it is as cold as after a start, which the list may tell late.
+  double cold_tokens = 0, cold_at = 0, back_at = 0;
 
   void Follow(const Member& m, int kinds, int zones) {
     zone = std::clamp(m.zone, 0, zones - 1);
     kind = std::clamp(m.kind, 0, kinds - 1);
     cell = m.cell;
     capacity = m.capacity;
-    born = m.born_s;
-    ready = m.readiness == Readiness::kReady;
+    born = std::max(m.born_s, back_at);
+    listed = m.readiness == Readiness::kReady;
+    ready = listed && !out_by_hand;
   }
 
   void TakeReport(double now, const std::vector<Column>& columns, const double (&values)[4]) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -285,6 +285,37 @@
   }
 }
 
+// The ban of an operator stands over what the list says, and its end is a fresh start: the worker
+// was restarted meanwhile, which the list may tell late or with an older time.
+TEST(BrainTest, AWorkerOutByHandStaysOutWhateverTheListSaysAndComesBackCold) {
+  Settings s = Plain();
+  Desk desk(s);
+  desk.List(Fleet(2));
+  int id = 0;
+  const auto sent_to_w0 = [&](int n) {  // all at one moment
+    int count = 0;
+    for (int i = 0; i < n; ++i) {
+      const std::string job = "j" + std::to_string(++id);
+      desk.Job(job);
+      count += !desk.sends[job].empty() && desk.sends[job][0] == "w0";
+      desk.EndAll(job, [](int) { return Verdict::kServed; });
+    }
+    return count;
+  };
+  EXPECT_GT(sent_to_w0(30), 8);
+  desk.Do(Maintenance{"w0", true});
+  desk.Do(Maintenance{"w0", true});
+  desk.List(Fleet(2));
+  EXPECT_EQ(sent_to_w0(20), 0);
+  desk.Do(Maintenance{"w0", false});
+  std::vector<Member> list = Fleet(2);
+  list[0].born_s = desk.now - 5;
+  desk.List(list);
+  EXPECT_LT(sent_to_w0(30), 4);  // a burst that a cold worker must be spared
+  desk.Pass(s.cold_s + 1);
+  EXPECT_GT(sent_to_w0(30), 8);
+}
+
 TEST(BrainTest, ADyingWorkerIsLeftAloneButNeverTheWholeFleet) {
   Desk desk(Plain());
   desk.List(Fleet(10));
--- /dev/null
+++ b/tests/rig.h
@@ -0,0 +1,55 @@
+// A node on loopback with toy workers around it, each on a loop of its own that take turns.
+#ifndef MILLETHOLLOW_TESTS_RIG_H_
+#define MILLETHOLLOW_TESTS_RIG_H_
+
+#include "support.h"
+
+namespace millethollow {
+
+struct Rig {
+  explicit Rig(int workers = 3, const std::string& extra = "") {
+    LogLevel() = Level::kError;
+    for (int i = 0; i < workers; ++i) this->workers.push_back(std::make_unique<ToyWorker>(&host));
+    std::vector<std::string> addresses;
+    for (const auto& w : this->workers) addresses.push_back(w->address());
+    Config config;
+    std::string why;
+    EXPECT_TRUE(ReadConfig(TestConfig(addresses, extra), &config, &why)) << why;
+    node = std::make_unique<Node>(config);
+    EXPECT_TRUE(node->Start(&why)) << why;
+  }
+  // Node and stand-ins have a loop each; they take turns.
+  template <typename Done>
+  bool Until(Done done, double most_s = 5) {
+    const double until = host.Now() + most_s;
+    while (!done() && host.Now() < until) {
+      for (Loop* loop : {&host, &node->loop()}) {
+        loop->deadlines().At(loop->Now() + 0.001, [] {});
+        loop->Turn();
+      }
+    }
+    return done();
+  }
+  std::unique_ptr<Raw> Client() { return std::make_unique<Raw>(&host, node->http_address()); }
+  std::unique_ptr<GearmanPeer> Gearman() {
+    return std::make_unique<GearmanPeer>(&host, node->gearman_address());
+  }
+  std::string Ask(const std::string& bytes, const std::string& wanted) {
+    const auto client = Client();
+    client->Write(bytes);
+    Until([&] { return client->in.find(wanted) != std::string::npos || client->ended; });
+    return client->in;
+  }
+  std::size_t Got() const {
+    std::size_t n = 0;
+    for (const auto& w : workers) n += w->got.size();
+    return n;
+  }
+  Loop host;
+  std::vector<std::unique_ptr<ToyWorker>> workers;
+  std::unique_ptr<Node> node;
+};
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_TESTS_RIG_H_
