--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -116,6 +116,12 @@
   std::string_view worker;
   bool out = false;
 };
+// While a process is replaced, two run as this one dispatcher. Each hears of the other's slots out
+// by PeerMessage from its own ordinal, and answers by TellPeer to it. The one that leaves takes
+// nothing new, speaks to no other peer and spares cold workers.
+struct Mate {
+  bool present = false, leaving = false;
+};
 struct JobArrived {
   std::string_view id;
   double expires_s = 0;
@@ -165,7 +171,7 @@
   std::string_view body;
 };
 using Event = std::variant<Started, MembersKnown, JobArrived, StreamBegan, AttemptNote, AttemptEnded,
-                           JobGone, TimerFired, ProbeAnswered, PeerMessage, Maintenance>;
+                           JobGone, TimerFired, ProbeAnswered, PeerMessage, Maintenance, Mate>;
 
 // Actions, to be carried out in the order given.
 struct Send {
@@ -219,6 +225,11 @@
   void Handle(double now_s, const Event& event, Actions* actions);
   // Is this a worker that gets nothing new now: drained, out by hand, or left out by choice?
   bool Avoids(std::string_view worker) const;
+  // What has been learned, for the process that replaces this one, which takes it before its first
+  // event. `classes` says for each of its classes which of the other's it is, -1: none. False, and
+  // nothing taken, where the text is not from settings of the same form.
+  std::string Learned() const;
+  bool Learn(std::string_view text, const std::vector<int>& classes);
 
  private:
   class Brain;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <unordered_map>
 
+#include "carry.h"
 #include "decksail/balancer.h"
 #include "state.h"
 #include "support.h"
@@ -109,6 +110,7 @@
   }
 
  private:
+  friend struct Carry;  // hands what was learned to the process that replaces this one
   // ---- buckets and quotas ----
 
   void On(const JobArrived& e) {
@@ -144,7 +146,8 @@
     Settle(it->second);
   }
 
-  std::size_t BucketOf(const Job& job) const { return Idx(job.tenant * classes_ + job.cls); }
+  // By class first: classes may be added while the program runs.
+  std::size_t BucketOf(const Job& job) const { return Idx(job.cls * tenants_ + job.tenant); }
 
   static double Depth(const Bucket& b) {
     const double rate = b.rate == kInf ? b.demand : b.rate;
@@ -160,11 +163,12 @@
 
   // ---- peer reports ----
 
-  // `counts` is empty where the counts have gone out already.
-  std::string Message(bool fresh, std::vector<UsageReport::Usage> counts) const {
+  // `counts` is empty where the counts have gone out already. Peers hear of both our processes.
+  std::string Message(bool fresh, std::vector<UsageReport::Usage> counts, bool to_mate = false) const {
     std::vector<std::pair<std::uint16_t, int>> out;
     for (const Worker& w : workers_) {
-      if (w.out > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(w.out)));
+      const double slots = w.out + (to_mate ? 0.0 : w.mate);
+      if (slots > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
     }
     return EncodeReport({fresh, rate_ == kInf ? 0.0 : rate_, direct_ ? own_ : mean_,
                          std::move(out), std::move(counts)});
@@ -187,7 +191,7 @@
       const double rate = bucket.seen / span;
       bucket.demand = measured_ ? bucket.demand * keep + rate * (1 - keep) : rate;
       bucket.seen = 0;
-      own_[b / Idx(classes_)] += bucket.demand;
+      own_[b % Idx(tenants_)] += bucket.demand;
     }
     for (const auto& [slot, count] : {std::pair{0, &sends_}, {1, &fulls_}, {2, &lates_}}) {
       double& rate = own_[Idx(tenants_ + slot)];
@@ -203,7 +207,8 @@
     carried_ =
         std::max(carried_ * std::exp(-span / kCarriedS), own_[Idx(tenants_)] / std::max(1, ready_));
     measured_ = true;
-    if (s_.peers && s_.dispatchers > 1) {
+    if (mate_.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
+    if (s_.peers && s_.dispatchers > 1 && !mate_.leaving) {
       const std::string message = Message(!heard_peers_, std::move(counts));
       for (int i = 0; i < (direct_ ? s_.dispatchers : kFanout); ++i) {
         const int whom = direct_ ? i : random_.OtherThan(s_.ordinal, s_.dispatchers);
@@ -215,6 +220,10 @@
 
   void On(const PeerMessage& e) {
     UsageReport report;
+    if (e.sender == s_.ordinal && DecodeReport(e.body, own_.size(), &report)) {
+      peers_.mate = {now_, {}, std::move(report.out)};
+      return SumOthers();
+    }
     const bool peer = e.sender >= 0 && e.sender < s_.dispatchers && e.sender != s_.ordinal;
     if (!s_.peers || !peer || !DecodeReport(e.body, own_.size(), &report)) return;
     heard_peers_ = true;
@@ -233,15 +242,11 @@
 
   static std::uint16_t Tag(const Worker& w) { return static_cast<std::uint16_t>(w.hash); }
 
-  // What live peers have out at each worker, by their last word.
-  void SumOthers() {
-    for (Worker& w : workers_) w.others = 0;
-    for (const Peer& peer : peers_.rows) {
-      if (peer.heard_at < now_ - kStaleReports * interval_) continue;
-      for (const auto& [tag, out] : peer.out) {
-        for (Worker& w : workers_) w.others += Tag(w) == tag ? out : 0;
-      }
-    }
+  void SumOthers() { peers_.SumOut(&workers_, now_ - kStaleReports * interval_); }
+
+  void On(const Mate& e) {
+    mate_ = e;
+    if (e.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
   }
 
   // ---- fleet rate ----
@@ -306,7 +311,7 @@
       // Each class gives up the same share. The worst-served class counts for itself, and work of
       // less worth is mostly short: shed first, it pays for little room.
       for (int c = 0; c < classes_; ++c) {
-        Bucket& b = buckets_[Idx(t * classes_ + c)];
+        Bucket& b = buckets_[Idx(c * tenants_ + t)];
         b.share = fraction;
         b.rate = fraction > 0.999 ? kInf : b.demand * fraction;
       }
@@ -359,7 +364,7 @@
     if (w.probation && (w.out > 0 || ClassOf(job.cls).semantics == Semantics::kOnce)) return false;
     if (job.Tried(index)) return false;
     if (anchor >= 0 && !SameGroup(ClassOf(job.cls).group, workers_[Idx(anchor)], w)) return false;
-    return !Cold(w) || ColdHeld(w) >= ColdCost(job);
+    return !Cold(w) || (!mate_.leaving && ColdHeld(w) >= ColdCost(job));
   }
 
   // Expected time to the job's end, and whether it would find no room.
@@ -938,6 +943,7 @@
   double interval_ = kReportS, reported_at_ = 0, sends_ = 0, fulls_ = 0, lates_ = 0;
   std::vector<double> own_, mean_;
   PeerTable peers_;
+  Mate mate_;
   // Fleet rate.
   double rate_ = kInf, next_cut_ = 0;
   // Workers.
@@ -975,6 +981,10 @@
   brain_->Handle(now_s, event, actions);
 }
 
+std::string Balancer::Learned() const { return Carry::Out(*brain_); }
+bool Balancer::Learn(std::string_view text, const std::vector<int>& classes) {
+  return Carry::In(text, classes, brain_.get());
+}
 bool Balancer::Avoids(std::string_view worker) const { return brain_->Avoids(worker); }
 
 }  // namespace decksail
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -27,6 +27,7 @@
   // From the settings.
   decksail::Settings settings;
   std::vector<std::string> classes, tenants, zones, kinds, columns;
+  std::string handover;  // folder where a process finds the one that it replaces; empty: none
   double conn_idle_s = 60, connect_timeout_s = 0.25;
 
   // Only in an operator's file.
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -31,6 +31,10 @@
 void Planner::Start(const std::vector<Member>& known) {
   Post([this] { Deliver(decksail::Started{}); });
   ListKnown(ListKind::kRestored, known);
+  for (const auto& [name, hop] : next_hops_) {  // by the process that went before
+    if (hop.out_since < 0) continue;
+    Post([this, n = name] { Deliver(decksail::Maintenance{n, true}); });
+  }
 }
 
 std::uint64_t Planner::AddForwarder(ForwarderPort* port, bool in_process) {
@@ -110,6 +114,7 @@
     }
     return;
   }
+  if (!envelope.wire_id.empty()) hooks_.took(envelope.wire_id);
   counters_->taken += 1;
   pending_ += 1;
   Entry& entry = ledger_[id];
@@ -454,12 +459,59 @@
     if (a.open) return;
   }
   // Ids are new for each request: one that comes again soon after its end is another's.
-  if (!entry->wire_id.empty()) ended_ids_.push_back(std::move(entry->wire_id));
-  if (ended_ids_.size() > kMostEndedIds) {
-    wire_ids_.erase(ended_ids_.front());
-    ended_ids_.pop_front();
-  }
+  if (!entry->wire_id.empty()) RememberId(std::move(entry->wire_id));
   ledger_.erase(id);
 }
 
+void Planner::RememberId(std::string wire_id) {
+  ended_ids_.push_back(std::move(wire_id));
+  if (ended_ids_.size() <= kMostEndedIds) return;
+  wire_ids_.erase(ended_ids_.front());
+  ended_ids_.pop_front();
+}
+
+// ---- two processes that are one node ----
+
+std::vector<Planner::Known> Planner::Knowledge() const {
+  std::vector<Known> known;
+  for (const auto& [name, hop] : next_hops_) {
+    if (!hop.local) known.push_back({hop.member, hop.drain_told_at, hop.out_since});
+  }
+  return known;
+}
+
+void Planner::TakeOver(const std::vector<Known>& known, std::string_view learned,
+                       const std::vector<int>& classes) {
+  if (!balancer_.Learn(learned, classes)) hooks_.log("what the other process learned is no use");
+  for (const Known& k : known) {
+    NextHop& hop = next_hops_[k.member.worker];
+    hop.member = k.member;
+    hop.drain_told_at = k.drain_told_at;
+    hop.out_since = k.out_since;
+  }
+}
+
+std::vector<std::string> Planner::Ids() const {
+  std::vector<std::string> ids(ended_ids_.begin(), ended_ids_.end());  // the oldest first
+  for (const auto& [id, entry] : ledger_) {
+    if (!entry.wire_id.empty()) ids.push_back(entry.wire_id);
+  }
+  return ids;
+}
+
+void Planner::IdTaken(const std::string& wire_id) {
+  if (wire_ids_.insert(wire_id).second) RememberId(wire_id);
+}
+
+void Planner::OtherProcess(bool present, bool leaving) {
+  Post([this, present, leaving] { Deliver(decksail::Mate{present, leaving}); });
+}
+
+void Planner::ToldDown(const Member& member) {
+  const auto it = next_hops_.find(member.worker);
+  if (it != next_hops_.end() && (it->second.local || it->second.member.born_s > member.born_s))
+    return;
+  if (member.readiness != Readiness::kReady) ListKnown(ListKind::kUpdate, {member});
+}
+
 }  // namespace millethollow
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -29,6 +30,7 @@
     std::function<void()> fetch_list = [] {};
     std::function<void(int, const std::string&)> tell_peer = [](int, const std::string&) {};
     std::function<void(const std::string&)> log = [](const std::string&) {};
+    std::function<void(const std::string&)> took = [](const std::string&) {};  // a Request-Id
   };
 
   Planner(const decksail::Settings& settings, std::uint64_t seed, Deadlines* deadlines, Hooks hooks,
@@ -56,6 +58,23 @@
   // The names of the classes, by index, for the figures.
   void NameClasses(std::vector<std::string> names);
 
+  // While a process is replaced, two planners are one. What is known of a next hop goes from the
+  // old one to the new: when a drain was told or it was taken out, each -1 if it was not.
+  struct Known {
+    decksail::Member member;
+    double drain_told_at = -1, out_since = -1;
+  };
+  std::vector<Known> Knowledge() const;
+  // Before Start: what the other knew, and what its module had learned.
+  void TakeOver(const std::vector<Known>& known, std::string_view learned,
+                const std::vector<int>& classes);
+  std::string Learned() const { return balancer_.Learned(); }
+  std::vector<std::string> Ids() const;      // all that may not come again
+  void IdTaken(const std::string& wire_id);  // by the other
+  void OtherProcess(bool present, bool leaving);
+  // The other was told that a next hop drains or is gone: so were we, unless we know a later start.
+  void ToldDown(const decksail::Member& member);
+
   std::size_t open_envelopes() const { return ledger_.size(); }
   std::size_t pending() const { return pending_; }  // taken and without a final answer yet
   // Next hops on the list, and those of them that nothing new goes to.
@@ -108,6 +127,7 @@
   void Expire(EnvelopeId id);
   void Forget(EnvelopeId id);
   void Note(const decksail::Member& member, bool local, std::uint64_t forwarder);
+  void RememberId(std::string wire_id);
 
   decksail::Settings settings_;
   decksail::Balancer balancer_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -88,6 +89,20 @@
   Attach(fd);
 }
 
+int Connection::Release(std::string* unread) {
+  if (bev_ == nullptr) return -1;
+  *unread = Peek(Available());
+  const int fd = fcntl(descriptor(), F_DUPFD_CLOEXEC, 0);  // ours is closed with its bufferevent
+  if (fd >= 0) Close("handed-over");
+  return fd;
+}
+
+void Connection::Unread(std::string_view bytes) {
+  if (bytes.empty()) return;
+  evbuffer_prepend(bufferevent_get_input(bev_.get()), bytes.data(), bytes.size());
+  bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void Connection::Hurry() { bufferevent_priority_set(bev_.get(), Loop::kFirst); }
 
 bool Connection::Connect(const sockaddr_in& address) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -46,6 +46,9 @@
   int descriptor() const;
   std::string PeerAddress() const;
   bool closed() const { return bev_ == nullptr; }
+  // Lets go of the socket for another process to go on with: a descriptor that the caller owns, or
+  // -1. What came in and was not consumed is in `unread`. The object is closed after it.
+  int Release(std::string* unread);
   void StopReading();  // what comes in stays with the kernel, and so with the sender
   // Ends the connection with its one log line. The object lives on until its owner drops it.
   void Close(const char* reason);
@@ -53,6 +56,7 @@
  protected:
   Connection(Loop* loop, const char* what) : loop_(loop), what_(what) {}
   void Adopt(evutil_socket_t fd);            // an accepted socket
+  void Unread(std::string_view bytes);       // puts back what came in
   void Hurry();                              // its events go before all others
   bool Connect(const sockaddr_in& address);  // false if it fails at once
   bool ConnectUnix(const std::string& path);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -50,6 +50,7 @@
   ~Discovery();
 
   void SetVersion(long long version) { version_ = version; }
+  long long version() const { return version_; }
   // Discovery has moved. Its whole list is asked for at once, since another's versions may mean
   // something else; a call that is out at the old address is heard to its end.
   void Move(const std::string& address);
--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -411,8 +411,22 @@
     : forwarder_(forwarder), config_(config), counters_(counters) {}
 Front::~Front() = default;
 
+bool Front::AdoptListener(int fd) {
+  forwarder_->loop()->OnSenderFreed([this] { SetAccepting(accepting_); });
+  return listener_.Adopt(forwarder_->loop(), fd, [this](evutil_socket_t s) { Accept(s); });
+}
+
+void Front::SetAccepting(bool on) {
+  accepting_ = on;
+  if (on) {
+    listener_.Resume();
+  } else {
+    listener_.Pause();
+  }
+}
+
 bool Front::Listen(const std::string& address, std::string* why) {
-  forwarder_->loop()->OnSenderFreed([this] { listener_.Resume(); });
+  forwarder_->loop()->OnSenderFreed([this] { SetAccepting(accepting_); });
   return listener_.Open(
       forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why);
 }
@@ -431,7 +445,7 @@
   Peer* raw = peer.get();
   peers_.emplace(raw, std::move(peer));
   budget.senders += 1;
-  if (budget.senders < budget.senders_most) return;
+  if (!budget.SendersFull()) return;
   // Of the peers that have said nothing the oldest makes room; workers and clients never pay.
   Peer* oldest = nullptr;
   for (const auto& [other, owned] : peers_) {
--- a/src/net/gearman/front.h
+++ b/src/net/gearman/front.h
@@ -46,6 +46,9 @@
   Front(Forwarder* forwarder, const Config& config, Counters* counters);
   ~Front() override;
   bool Listen(const std::string& address, std::string* why);
+  bool AdoptListener(int fd);  // of the process that went before
+  int listener() const { return listener_.descriptor(); }
+  void SetAccepting(bool on);  // not while another process serves at our address
   std::string address() const { return listener_.address(); }
   void BeginStop() { stopping_ = true; }
   bool Flushed() const;    // all that was said has gone out
@@ -100,7 +103,7 @@
   std::set<int> slots_;  // of the workers' names that are taken
   std::size_t body_bytes_ = 0;
   std::uint64_t sequence_ = 0;
-  bool stopping_ = false;
+  bool stopping_ = false, accepting_ = true;
 };
 
 }  // namespace millethollow::gearman
--- /dev/null
+++ b/src/net/handover/succession.cpp
@@ -0,0 +1,301 @@
+#include "net/handover/succession.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "log.h"
+
+namespace millethollow::handover {
+
+using decksail::Member;
+using decksail::Readiness;
+using link::Kind;
+using link::Reader;
+using link::Writer;
+
+namespace {
+
+constexpr int kForm = 1;         // of what goes over the link: another's is not understood
+constexpr double kClaimS = 1.5;  // the new process is to serve within 6 s, with or without the old
+constexpr double kBeatS = 0.1;
+constexpr std::size_t kMostBytes = Link::kMostPacket - 1024;  // of one packet's text
+
+enum Socket : std::uint8_t { kSenders, kGearman, kPeers };
+
+std::string Frame(Kind kind, const std::string& rest) { return Writer(kind).Raw(rest).Done(); }
+
+}  // namespace
+
+Succession::~Succession() { loop_->deadlines().Drop(&beat_); }
+
+// ---- the new process ----
+
+Claimed Succession::Claim(const std::function<void()>& while_waiting) {
+  Claimed got;
+  auto link = Link::To(loop_, path_);
+  if (link == nullptr) return got;
+  link->Send(Writer(Kind::kHello).I32(kForm).Done());
+  const auto take = [&got](Reader& f, int fd) {
+    switch (f.kind()) {
+      case Kind::kSocket: {
+        const std::uint8_t which = f.U8();
+        int& slot = which == kSenders   ? got.sender_listener
+                    : which == kGearman ? got.gearman_listener
+                                        : got.peer_socket;
+        std::swap(slot, fd);
+        break;
+      }
+      case Kind::kClass:
+        got.classes.push_back(f.Text());
+        break;
+      case Kind::kKnown: {
+        Planner::Known k;
+        k.member = f.GetMember();
+        k.drain_told_at = f.Real();
+        k.out_since = f.Real();
+        ListEntry e{.member = k.member, .address = f.Text(), .most_out = f.U64()};
+        if (!f.Whole()) break;
+        if (k.member.readiness != Readiness::kGone) got.list.push_back(std::move(e));
+        got.known.push_back(std::move(k));
+        break;
+      }
+      case Kind::kIds:
+        for (std::string id = f.Text(); f.ok(); id = f.Text()) got.ids.push_back(id);
+        break;
+      case Kind::kLearned:
+        got.learned += f.Rest();
+        break;
+      case Kind::kTold:
+        got.version = static_cast<long long>(f.U64());
+        got.whole = f.Whole();
+        break;
+      default:  // word for a mate: it says all that counts again
+        break;
+    }
+    if (fd >= 0) close(fd);
+  };
+  if (!link->Receive(
+          take, [&got] { return got.whole; }, loop_->Now() + kClaimS, while_waiting)) {
+    LogLine(Level::kWarn) << "the process that serves tells us nothing: starting alone";
+    for (const int fd : {got.sender_listener, got.gearman_listener, got.peer_socket}) {
+      if (fd >= 0) close(fd);
+    }
+    return {};
+  }
+  before_ = std::make_unique<Mate>();
+  before_->link = std::move(link);
+  return got;
+}
+
+void Succession::Serve(Parts parts) {
+  parts_ = std::move(parts);
+  if (before_ != nullptr) {
+    Watch(&before_);
+    before_->link->Send(Writer(Kind::kServing).Done());
+    MatesChanged();
+    LogLine(Level::kInfo) << "serving in place of the process before";
+  }
+  AwaitNext();
+}
+
+void Succession::AwaitNext() {
+  server_ = std::make_unique<Server>(loop_, [this](std::unique_ptr<Link> link) {
+    // One at a time: whoever comes while another is on its way starts alone.
+    if (after_ != nullptr) return;
+    after_ = std::make_unique<Mate>();
+    after_->link = std::move(link);
+    Watch(&after_);
+  });
+  if (!server_->Listen(path_)) LogLine(Level::kWarn) << "no handover: cannot listen at " << path_;
+}
+
+// ---- the old process ----
+
+void Succession::TellAll(Mate* mate) {
+  Link& link = *mate->link;
+  const auto socket = [&link](Socket which, int fd) {
+    const int copy = fd >= 0 ? fcntl(fd, F_DUPFD_CLOEXEC, 0) : -1;
+    if (copy >= 0) link.Send(Writer(Kind::kSocket).U8(which).Done(), copy);
+  };
+  socket(kSenders, parts_.front->listener());
+  if (parts_.gearman != nullptr) socket(kGearman, parts_.gearman->listener());
+  if (parts_.peers != nullptr) socket(kPeers, parts_.peers->descriptor());
+  for (const std::string& name : *parts_.classes) {
+    link.Send(Writer(Kind::kClass).Text(name).Done());
+  }
+  for (const Planner::Known& k : parts_.planner->Knowledge()) {
+    const auto [address, most] = parts_.pool->Address(k.member.worker);
+    link.Send(Writer(Kind::kKnown)
+                  .Put(k.member)
+                  .Real(k.drain_told_at)
+                  .Real(k.out_since)
+                  .Text(address)
+                  .U64(most)
+                  .Done());
+  }
+  std::string ids;
+  for (const std::string& id : parts_.planner->Ids()) {
+    const std::string one = Writer(Kind::kId).Text(id).Done().substr(5);  // its field alone
+    if (ids.size() + one.size() > kMostBytes) link.Send(Frame(Kind::kIds, std::exchange(ids, {})));
+    ids += one;
+  }
+  link.Send(Frame(Kind::kIds, ids));
+  const std::string learned = parts_.planner->Learned();
+  for (std::size_t at = 0; at < learned.size(); at += kMostBytes) {
+    link.Send(Frame(Kind::kLearned, learned.substr(at, kMostBytes)));
+  }
+  const long long version = parts_.discovery != nullptr ? parts_.discovery->version() : 0;
+  link.Send(Writer(Kind::kTold).U64(static_cast<std::uint64_t>(version)).Done());
+}
+
+// The new one serves. What it now accepts we would only share with it.
+void Succession::Leave() {
+  leaving_ = true;
+  server_.reset();  // its place is taken already
+  LogLine(Level::kInfo) << "another process serves: taking nothing new";
+  if (parts_.peers != nullptr) parts_.peers->Listen(false);
+  if (parts_.gearman != nullptr) parts_.gearman->SetAccepting(false);
+  parts_.front->HandOver([this](int fd, bool served, const std::string& unread) {
+    const std::string frame = Writer(Kind::kSender).U8(served).Raw(unread).Done();
+    after_->link->Send(frame, fd);
+  });
+  parts_.pool->HandOver([this](const std::string& hop, double since, int fd) {
+    after_->link->Send(Writer(Kind::kIdleHop).Text(hop).Real(since).Done(), fd);
+  });
+  MatesChanged();
+}
+
+// ---- both ----
+
+void Succession::Watch(MatePtr* mate) {
+  Mate* raw = mate->get();
+  raw->link->Start([this, raw](Reader& f, int fd) { Heard(raw, f, fd); },
+                   [this, raw] { Lost(raw); });
+}
+
+void Succession::Heard(Mate* mate, Reader& f, int fd) {
+  int unused = fd;
+  switch (f.kind()) {
+    case Kind::kHello:
+      if (mate == after_.get() && f.I32() == kForm && f.Whole()) TellAll(mate);
+      break;
+    case Kind::kServing:
+      if (mate == after_.get() && !leaving_) Leave();
+      break;
+    case Kind::kSender: {
+      const bool served = f.U8() != 0;
+      const std::string unread = f.Rest();
+      if (fd < 0 || !f.ok()) break;
+      parts_.front->AdoptSender(std::exchange(unused, -1), served, unread);
+      break;
+    }
+    case Kind::kIdleHop: {
+      const std::string hop = f.Text();
+      const double since = f.Real();
+      if (fd < 0 || !f.Whole()) break;
+      parts_.pool->AdoptIdle(hop, since, std::exchange(unused, -1));
+      break;
+    }
+    case Kind::kMate:
+      parts_.planner->PeerSaid(parts_.planner->settings().ordinal, f.Rest());
+      break;
+    case Kind::kUse:
+      mate->senders = f.U64();
+      mate->next_hops = f.U64();
+      MatesChanged();
+      break;
+    case Kind::kBan: {
+      const std::string hop = f.Text();
+      const bool out = f.U8() != 0;
+      if (f.Whole()) Ban(hop, out, mate);
+      break;
+    }
+    case Kind::kDown: {
+      const Member member = f.GetMember();
+      if (f.Whole()) parts_.planner->ToldDown(member);
+      break;
+    }
+    case Kind::kId: {
+      const std::string id = f.Text();
+      if (f.Whole()) parts_.planner->IdTaken(id);
+      break;
+    }
+    default:
+      break;
+  }
+  if (unused >= 0) close(unused);
+}
+
+void Succession::Lost(Mate* mate) {
+  MatePtr& slot = mate == after_.get() ? after_ : before_;
+  if (slot.get() != mate) return;
+  const bool replaced = mate == after_.get() && leaving_;
+  slot.reset();
+  if (replaced) {  // it died before we did: we go on
+    leaving_ = false;
+    LogLine(Level::kWarn) << "the process that replaced us is gone: serving again";
+    if (parts_.peers != nullptr) parts_.peers->Listen(true);
+    if (parts_.gearman != nullptr) parts_.gearman->SetAccepting(true);
+    parts_.pool->HandOver({});
+    parts_.front->HandOver({});
+    parts_.deserted();
+    AwaitNext();
+  }
+  MatesChanged();
+}
+
+void Succession::MatesChanged() {
+  DescriptorBudget& budget = loop_->budget();
+  budget.senders_elsewhere = budget.next_hops_elsewhere = 0;
+  for (const Mate* m : {before_.get(), after_.get()}) {
+    if (m == nullptr) continue;
+    budget.senders_elsewhere += m->senders;
+    budget.next_hops_elsewhere += m->next_hops;
+  }
+  loop_->RoomForSenders();
+  const bool present = before_ != nullptr || leaving_;
+  if (std::exchange(present_, present) != present ||
+      std::exchange(told_leaving_, leaving_) != leaving_) {
+    parts_.planner->OtherProcess(present, leaving_);
+  }
+  if (present && beat_ == Deadlines::kNone) Beat();
+}
+
+// The budget of descriptors is one for both: each says what it holds.
+void Succession::Beat() {
+  beat_ = Deadlines::kNone;
+  if (before_ == nullptr && after_ == nullptr) return;
+  const DescriptorBudget& budget = loop_->budget();
+  const std::string frame = Writer(Kind::kUse).U64(budget.senders).U64(budget.next_hops).Done();
+  if (frame != std::exchange(use_told_, frame)) Send(frame);
+  beat_ = loop_->deadlines().At(loop_->Now() + kBeatS, [this] { Beat(); });
+}
+
+void Succession::Send(const std::string& frame, const Mate* but) {
+  if (before_ != nullptr && before_.get() != but) before_->link->Send(frame);
+  if (after_ != nullptr && after_.get() != but) after_->link->Send(frame);
+}
+
+void Succession::TellMates(const std::string& body) { Send(Frame(Kind::kMate, body)); }
+void Succession::TellId(const std::string& wire_id) {
+  if (before_ != nullptr || after_ != nullptr) Send(Writer(Kind::kId).Text(wire_id).Done());
+}
+
+void Succession::Ban(const std::string& next_hop, bool out, const Mate* from) {
+  if (from != nullptr) parts_.planner->Maintain(next_hop, out);
+  Send(Writer(Kind::kBan).Text(next_hop).U8(out).Done(), from);
+}
+
+void Succession::TellDown() {
+  if (before_ == nullptr && after_ == nullptr) return;
+  for (const Planner::Known& k : parts_.planner->Knowledge()) {
+    if (k.member.readiness == Readiness::kReady || k.drain_told_at < told_down_until_) continue;
+    Send(Writer(Kind::kDown).Put(k.member).Done());
+  }
+  told_down_until_ = loop_->Now();
+}
+
+}  // namespace millethollow::handover
--- a/src/net/http/next_hop_pool.cpp
+++ b/src/net/http/next_hop_pool.cpp
@@ -135,8 +135,24 @@
     pool_->Drop(this);
   }
 
-  void Rest() {
-    idle_since_ = loop_->Now();
+  // It rested in another process.
+  void GoOn(int fd, double idle_since) {
+    Adopt(fd);
+    connected_ = true;
+    Rest(idle_since);
+  }
+  int LetGo() {
+    std::string unread;
+    const int fd = Release(&unread);
+    if (fd < 0) return -1;
+    loop_->deadlines().Drop(&limit_);
+    pool_->Drop(this);
+    return fd;
+  }
+
+  void Rest() { Rest(loop_->Now()); }
+  void Rest(double since) {
+    idle_since_ = since;
     const double idle_s = pool_->options_.idle_s * kRetireShare;
     limit_ = loop_->deadlines().At(idle_since_ + idle_s, [this] {
       limit_ = Deadlines::kNone;
@@ -331,7 +347,7 @@
     return {last, Verdict::kServed};
   }
   DescriptorBudget& budget = forwarder_->loop()->budget();
-  if (budget.next_hops >= budget.next_hops_most && !CloseOldestIdle()) {
+  if (budget.NextHopsFull() && !CloseOldestIdle()) {
     return {nullptr, Verdict::kNotSent};
   }
   auto fresh = std::make_unique<HopConnection>(this, forwarder_->loop(), next_hop);
@@ -396,6 +412,44 @@
 void NextHopPool::Release(HopConnection* connection) {
   hops_[connection->next_hop()].idle.push_back(connection);
   connection->Rest();
+  if (taker_) PassOn(connection);
+}
+
+std::pair<std::string, std::size_t> NextHopPool::Address(const std::string& next_hop) const {
+  const auto it = hops_.find(next_hop);
+  if (it == hops_.end()) return {};
+  return {it->second.address_text, it->second.most_out};
+}
+
+void NextHopPool::HandOver(Taker taker) {
+  taker_ = std::move(taker);
+  if (!taker_) return;
+  for (auto& [name, hop] : hops_) {
+    for (HopConnection* idle : std::vector<HopConnection*>(hop.idle)) PassOn(idle);
+  }
+}
+
+void NextHopPool::PassOn(HopConnection* idle) {
+  const std::string name = idle->next_hop();
+  const double since = idle->idle_since();
+  const int fd = idle->LetGo();
+  if (fd >= 0) taker_(name, since, fd);
+}
+
+void NextHopPool::AdoptIdle(const std::string& next_hop, double idle_since, int fd) {
+  Hop& hop = hops_[next_hop];
+  DescriptorBudget& budget = forwarder_->loop()->budget();
+  if (!hop.reachable || budget.NextHopsFull()) {
+    evutil_closesocket(fd);
+    return;
+  }
+  evutil_make_socket_nonblocking(fd);
+  auto fresh = std::make_unique<HopConnection>(this, forwarder_->loop(), next_hop);
+  HopConnection* raw = fresh.get();
+  connections_.emplace(raw, std::move(fresh));
+  budget.next_hops += 1;
+  hop.idle.insert(hop.idle.begin(), raw);
+  raw->GoOn(fd, std::min(idle_since, forwarder_->loop()->Now()));
 }
 
 void NextHopPool::Drop(HopConnection* connection) {
--- a/src/net/http/next_hop_pool.h
+++ b/src/net/http/next_hop_pool.h
@@ -2,6 +2,7 @@
 #ifndef MILLETHOLLOW_NET_HTTP_NEXT_HOP_POOL_H_
 #define MILLETHOLLOW_NET_HTTP_NEXT_HOP_POOL_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,12 @@
   void Send(const Held& held, int attempt, const std::string& next_hop) override;
   void Cancel(EnvelopeId id, int attempt) override;
   void Probe(const std::string& next_hop) override;
+  // Where a next hop listens, and how many attempts it may have at once.
+  std::pair<std::string, std::size_t> Address(const std::string& next_hop) const;
+  // Another process sends from now on: resting connections go to it. Empty: as before.
+  using Taker = std::function<void(const std::string& next_hop, double idle_since, int fd)>;
+  void HandOver(Taker taker);
+  void AdoptIdle(const std::string& next_hop, double idle_since, int fd);
   std::size_t connections() const { return connections_.size(); }
 
  private:
@@ -52,11 +59,13 @@
   std::pair<HopConnection*, Verdict> Get(const std::string& next_hop);
   void Release(HopConnection* connection);
   void Drop(HopConnection* connection);
+  void PassOn(HopConnection* idle);
   bool CloseOldestIdle();
   void NoLongerOut(EnvelopeId id, int attempt);
 
   Forwarder* forwarder_;
   Options options_;
+  Taker taker_;
   std::map<std::string, Hop> hops_;
   std::map<HopConnection*, std::unique_ptr<HopConnection>> connections_;
   std::map<std::pair<EnvelopeId, int>, HopConnection*> out_;
--- a/src/net/http/sender_front.cpp
+++ b/src/net/http/sender_front.cpp
@@ -184,6 +184,26 @@
   }
   void CloseNow(const char* reason) { Finish(reason); }
 
+  // It rested in another process.
+  void GoOn(bool served, const std::string& unread) {
+    if (served) {
+      heard_ = proven_ = true;
+      served_ = 1;
+      loop_->deadlines().Drop(&limit_);
+    }
+    Unread(unread);
+  }
+  // Between two requests, even with the next one's bytes here: another process can go on with it.
+  void HandOver() {
+    if (closed() || state_ != State::kReading || !parser_.idle()) return;
+    std::string unread;
+    const int fd = Release(&unread);
+    if (fd < 0) return;
+    loop_->deadlines().Drop(&limit_);
+    front_->taker_(fd, proven_, unread);
+    front_->Drop(this);
+  }
+
   void Answer(const Held& held, const FinalAnswer& answer, const std::string& result) override {
     envelope_ = 0;
     served_ += 1;
@@ -276,7 +296,7 @@
   }
 
   void Respond(int status, const std::string& body, const std::string& headers = {}) {
-    const bool last = !keep_ || front_->stopping_;
+    const bool last = !keep_ || (front_->stopping_ && !front_->taker_);
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + Reason(status) + "\r\n" +
                        headers + "Content-Length: " + std::to_string(body.size()) + "\r\n" +
                        (last ? "Connection: close\r\n" : "") + "\r\n" + body;
@@ -301,6 +321,7 @@
       loop_->deadlines().Drop(&limit_);
       state_ = State::kReading;
       idle_since_ = loop_->Now();
+      if (front_->taker_) return HandOver();
       return OnRead();  // a request may have come in behind the last one already
     }
     if (state_ != State::kClosing) return;
@@ -343,19 +364,46 @@
 SenderFront::~SenderFront() = default;
 
 bool SenderFront::Listen(const std::string& address, bool shared, std::string* why) {
-  forwarder_->loop()->OnSenderFreed([this] { listener_.Resume(); });
+  forwarder_->loop()->OnSenderFreed([this] { Resume(); });
   return listener_.Open(
       forwarder_->loop(), address, [this](evutil_socket_t fd) { Accept(fd); }, why, shared);
 }
 
+bool SenderFront::AdoptListener(int fd) {
+  forwarder_->loop()->OnSenderFreed([this] { Resume(); });
+  return listener_.Adopt(forwarder_->loop(), fd, [this](evutil_socket_t s) { Accept(s); });
+}
+
+void SenderFront::Resume() {
+  if (!taker_ && !forwarder_->loop()->budget().SendersFull()) listener_.Resume();
+}
+
+void SenderFront::HandOver(Taker taker) {
+  taker_ = std::move(taker);
+  if (!taker_) return Resume();
+  listener_.Pause();
+  std::vector<SenderConnection*> all;
+  for (const auto& [raw, sender] : senders_) all.push_back(raw);
+  for (SenderConnection* raw : all) raw->HandOver();
+}
+
+void SenderFront::AdoptSender(int fd, bool served, const std::string& unread) {
+  evutil_make_socket_nonblocking(fd);
+  Add(fd)->GoOn(served, unread);
+}
+
 void SenderFront::Accept(evutil_socket_t fd) {
-  DescriptorBudget& budget = forwarder_->loop()->budget();
+  SenderConnection* raw = Add(fd);
+  // With no descriptor left for another, the longest idle makes room; else the next must wait.
+  if (forwarder_->loop()->budget().SendersFull() && !MakeRoom(raw)) listener_.Pause();
+}
+
+SenderConnection* SenderFront::Add(evutil_socket_t fd) {
   auto sender = std::make_unique<SenderConnection>(this, forwarder_->loop(), fd);
   SenderConnection* raw = sender.get();
   senders_.emplace(raw, std::move(sender));
-  budget.senders += 1;
-  // With no descriptor left for another, the longest idle makes room; else the next must wait.
-  if (budget.senders >= budget.senders_most && !MakeRoom(raw)) listener_.Pause();
+  forwarder_->loop()->budget().senders += 1;
+  return raw;
 }
 
 // With hundreds that connect and say nothing, the longest idle would be a usual sender's resting
--- a/src/net/http/sender_front.h
+++ b/src/net/http/sender_front.h
@@ -2,6 +2,7 @@
 #ifndef MILLETHOLLOW_NET_HTTP_SENDER_FRONT_H_
 #define MILLETHOLLOW_NET_HTTP_SENDER_FRONT_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,6 +39,15 @@
   void SetServing(bool serving) { serving_ = serving; }
   // Goes on serving, and asks each sender to leave with its next answer.
   void BeginStop() { stopping_ = true; }
+  // Goes on with the listening socket of the process that went before.
+  bool AdoptListener(int fd);
+  int listener() const { return listener_.descriptor(); }
+  // A connection that rested there; `served` if it has been served, `unread` what it had sent.
+  void AdoptSender(int fd, bool served, const std::string& unread);
+  // Another process serves at our address: nothing new is accepted here, and each connection goes
+  // to it as soon as no request of it is here. Empty: that process is gone, and all is as before.
+  using Taker = std::function<void(int fd, bool served, const std::string& unread)>;
+  void HandOver(Taker taker);
   // No new connections; idle ones are closed.
   void CloseIdle();
   std::size_t connections() const { return senders_.size(); }
@@ -45,6 +55,8 @@
  private:
   friend class SenderConnection;
   void Accept(evutil_socket_t fd);
+  SenderConnection* Add(evutil_socket_t fd);
+  void Resume();
   void Drop(SenderConnection* sender);
   bool MakeRoom(const SenderConnection* newest);
 
@@ -54,6 +66,7 @@
   Listener listener_;
   std::map<SenderConnection*, std::unique_ptr<SenderConnection>> senders_;
   bool serving_ = false, stopping_ = false;
+  Taker taker_;
 };
 
 }  // namespace millethollow::http
--- a/src/net/link/frame.cpp
+++ b/src/net/link/frame.cpp
@@ -46,6 +46,11 @@
       .Real(m.born_s);
 }
 
+Writer& Writer::Raw(std::string_view v) {
+  bytes_.append(v);
+  return *this;
+}
+
 std::string Writer::Done() {
   const std::size_t size = bytes_.size() - 4;
   for (std::size_t i = 0; i < 4; ++i) bytes_[i] = static_cast<char>(size >> (24 - 8 * i) & 0xff);
@@ -80,6 +85,12 @@
   return text;
 }
 
+std::string Reader::Rest() {
+  std::string rest(ok_ ? rest_ : std::string_view());
+  rest_ = {};
+  return rest;
+}
+
 Outcome Reader::GetOutcome() {
   Outcome o;
   const std::uint8_t verdict = U8();
--- a/src/net/link/frame.h
+++ b/src/net/link/frame.h
@@ -30,6 +30,22 @@
   kCancel,
   kProbe,
   kAnswer,
+  // between two processes of one node, while one replaces the other
+  kHello = 64,  // new to old: I am here, tell me
+  kSocket,      // a listening or peer socket goes with it
+  kClass,
+  kKnown,  // a next hop with its address, drain and ban
+  kIds,
+  kLearned,
+  kTold,     // that was all; the list's version
+  kServing,  // new to old: I serve
+  kSender,   // a resting connection of a sender, or
+  kIdleHop,  // of a next hop, goes with it
+  kMate,     // the module's word to its other half
+  kUse,      // descriptors in use
+  kBan,
+  kDown,
+  kId,
 };
 
 class Writer {
@@ -42,6 +58,7 @@
   Writer& Text(std::string_view v);
   Writer& Put(const Outcome& o);
   Writer& Put(const decksail::Member& m);
+  Writer& Raw(std::string_view v);  // the rest of the frame
   std::string Done();
 
  private:
@@ -61,6 +78,7 @@
   std::string Text();
   Outcome GetOutcome();
   decksail::Member GetMember();
+  std::string Rest();
   bool ok() const { return ok_; }
   bool Whole() const { return ok_ && rest_.empty(); }  // all read, and nothing left over
   void Bad() { ok_ = false; }
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -51,6 +51,24 @@
     *why = "cannot listen on " + name + ": " + std::strerror(errno);
     return false;
   }
+  Watch();
+  return true;
+}
+
+bool Listener::Adopt(Loop* loop, evutil_socket_t fd, Accepted accepted) {
+  loop_ = loop;
+  accepted_ = std::move(accepted);
+  listener_.reset(evconnlistener_new(
+      loop_->base(),
+      [](evconnlistener*, evutil_socket_t peer, sockaddr*, int, void* self) {
+        static_cast<Listener*>(self)->accepted_(peer);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, fd));
+  if (listener_ != nullptr) Watch();
+  return listener_ != nullptr;
+}
+
+void Listener::Watch() {
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* arg) {
     // Out of descriptors, most likely: a short pause instead of a spin.
     auto* self = static_cast<Listener*>(arg);
@@ -58,7 +76,6 @@
     self->Pause();
     self->loop_->deadlines().At(self->loop_->Now() + 0.1, [self] { self->Resume(); });
   });
-  return true;
 }
 
 std::string Listener::address() const {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -18,6 +18,9 @@
   bool Open(Loop* loop, const std::string& address, Accepted accepted, std::string* why,
             bool shared = false);
   bool OpenUnix(Loop* loop, const std::string& path, Accepted accepted, std::string* why);
+  // Goes on with a socket that listens already, from another process.
+  bool Adopt(Loop* loop, evutil_socket_t fd, Accepted accepted);
+  int descriptor() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
   void Pause() {
     if (listener_) evconnlistener_disable(listener_.get());
   }
@@ -31,6 +34,7 @@
  private:
   bool Bind(const sockaddr* address, int size, unsigned flags, const std::string& name,
             std::string* why);
+  void Watch();
   struct Free {
     void operator()(evconnlistener* l) const { evconnlistener_free(l); }
   };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -39,6 +39,10 @@
 
 void Loop::SenderFreed() {
   budget_.senders -= 1;
+  RoomForSenders();
+}
+
+void Loop::RoomForSenders() {
   for (const auto& what : sender_freed_) what();
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -25,6 +25,10 @@
 struct DescriptorBudget {
   std::size_t senders_most = 480, next_hops_most = 480;
   std::size_t senders = 0, next_hops = 0;
+  std::size_t senders_elsewhere = 0, next_hops_elsewhere = 0;  // of the process that we replace
+
+  bool SendersFull() const { return senders + senders_elsewhere >= senders_most; }
+  bool NextHopsFull() const { return next_hops + next_hops_elsewhere >= next_hops_most; }
 
   static DescriptorBudget Of(std::size_t sockets) {
     // The rest is for the listener, discovery, peers, standard streams, and sockets that wait for
@@ -50,6 +54,7 @@
   // Every front counts its senders here: one that gives a descriptor back may let another accept.
   void OnSenderFreed(std::function<void()> what) { sender_freed_.push_back(std::move(what)); }
   void SenderFreed();
+  void RoomForSenders();  // there may be some again
 
   // Runs at the end of this turn: where connections are destroyed, never within a callback of
   // theirs.
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -15,7 +15,16 @@
   if (fd_ >= 0) close(fd_);
 }
 
-bool Peers::Open(const std::string& listen, const std::vector<std::string>& peers,
+void Peers::Listen(bool on) {
+  if (readable_ == nullptr) return;
+  if (on) {
+    event_add(readable_.get(), nullptr);
+  } else {
+    event_del(readable_.get());
+  }
+}
+
+bool Peers::Open(int fd, const std::string& listen, const std::vector<std::string>& peers,
                  const std::string& all, std::string* why) {
   const auto own = ParseAddress(listen);
   if (!own) return *why = "not a peer address: '" + listen + "'", false;
@@ -28,8 +37,11 @@
     all_ = *address;
     has_all_ = true;
   }
-  fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&*own), sizeof *own) != 0) {
+  fd_ = fd >= 0 ? fd : socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;  // a process that is silent and has it yet must not keep us from our start
+  if (fd < 0 && fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  if (fd_ < 0 ||
+      (fd < 0 && bind(fd_, reinterpret_cast<const sockaddr*>(&*own), sizeof *own) != 0)) {
     return *why = "cannot bind " + listen + ": " + std::strerror(errno), false;
   }
   readable_.reset(event_new(
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -21,8 +21,11 @@
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
 
-  bool Open(const std::string& listen, const std::vector<std::string>& peers,
+  // `fd`: the socket of the process that went before, or -1 for one of our own.
+  bool Open(int fd, const std::string& listen, const std::vector<std::string>& peers,
             const std::string& all, std::string* why);
+  int descriptor() const { return fd_; }
+  void Listen(bool on);                          // off while another process reads the same socket
   void Tell(int whom, const std::string& body);  // -1: everyone
 
  private:
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -28,18 +28,37 @@
   loop_.budget() = DescriptorBudget::Of(config_.sockets);
   std::uint64_t seed = config_.seed;
   if (seed == 0) seed = std::random_device{}();
+  if (!config_.handover.empty() && role_.kind == Role::Kind::kWhole) {
+    std::string at = config_.name + "-" + config_.listen;
+    std::replace(at.begin(), at.end(), '/', '_');
+    succession_ = std::make_unique<handover::Succession>(
+        &loop_, config_.handover + "/millethollow-" + at + ".sock");
+    claimed_ = succession_->Claim(while_waiting);
+  }
   if (role_.kind != Role::Kind::kPlanner && !StartForwarder(why)) return false;
   if (role_.kind != Role::Kind::kForwarder && !StartPlanner(seed, why)) return false;
   if (role_.kind == Role::Kind::kForwarder) client_->Start();
   if (!config_.admin.empty()) {
     admin_ = std::make_unique<admin::AdminServer>(
-        &loop_, admin::AdminServer::Hooks{
-                    .serving = [this] { return planner_ != nullptr && !stopping_; },
-                    .figures = [this] { return Figures(); },
-                    .maintain = [this](const std::string& worker,
-                                       bool out) { return planner_->Maintain(worker, out); }});
+        &loop_,
+        admin::AdminServer::Hooks{.serving = [this] { return planner_ != nullptr && !stopping_; },
+                                  .figures = [this] { return Figures(); },
+                                  .maintain = [this](const std::string& worker,
+                                                     bool out) { return Maintain(worker, out); }});
     if (!admin_->Listen(config_.admin, why)) return false;
   }
+  if (succession_) {
+    succession_->Serve({.planner = planner_.get(),
+                        .front = front_.get(),
+                        .pool = pool_.get(),
+                        .gearman = gearman_.get(),
+                        .peers = peers_.get(),
+                        .discovery = discovery_.get(),
+                        .classes = &config_.classes,
+                        .deserted = [this] {
+                          if (stopping_) front_->CloseIdle();
+                        }});
+  }
   LogLine(Level::kInfo) << "started as " << config_.name;
   return true;
 }
@@ -65,7 +84,13 @@
     if (discovery_) discovery_->Fetch();
   };
   hooks.tell_peer = [this](int whom, const std::string& body) {
-    if (peers_) peers_->Tell(whom, body);
+    if (whom == config_.settings.ordinal) {  // our own other process
+      if (succession_) succession_->TellMates(body);
+    } else if (peers_)
+      peers_->Tell(whom, body);
+  };
+  hooks.took = [this](const std::string& id) {
+    if (succession_) succession_->TellId(id);
   };
   hooks.log = [](const std::string& line) { LogLine(Level::kWarn) << "planner: " << line; };
   planner_ =
@@ -82,7 +107,9 @@
   if (!config_.peer_listen.empty()) {
     peers_ = std::make_unique<Peers>(
         &loop_, [this](int who, const std::string& body) { planner_->PeerSaid(who, body); });
-    if (!peers_->Open(config_.peer_listen, config_.peers, config_.peers_all, why)) return false;
+    if (!peers_->Open(claimed_.peer_socket, config_.peer_listen, config_.peers, config_.peers_all,
+                      why))
+      return false;
   }
   if (!config_.discovery.empty()) {
     discovery_ = std::make_unique<Discovery>(
@@ -101,6 +128,20 @@
       !ReadTransportMap(config_.known, config_.zones, config_.kinds, &known, why)) {
     return false;
   }
+  if (claimed_.whole) {
+    if (!claimed_.list.empty()) {
+      known.entries = claimed_.list;
+      known.version = claimed_.version;
+    }
+    std::vector<int> theirs;  // of each class of ours, its index there: the last of the name
+    for (const std::string& name : config_.classes) {
+      const auto& all = claimed_.classes;
+      const auto at = std::find(all.rbegin(), all.rend(), name);
+      theirs.push_back(at == all.rend() ? -1 : static_cast<int>(all.rend() - at) - 1);
+    }
+    planner_->TakeOver(claimed_.known, claimed_.learned, theirs);
+    for (const std::string& id : claimed_.ids) planner_->IdTaken(id);
+  }
   for (const ListEntry& e : known.entries) SetAddress(e.member.worker, e.address, e.most_out);
   if (discovery_) discovery_->SetVersion(known.version);
   planner_->Start(known.Members());
@@ -124,15 +165,25 @@
   for (const auto& c : config_.settings.classes) {
     names.keyed.push_back(c.semantics == decksail::Semantics::kByKey);
   }
-  const bool shared = role_.kind == Role::Kind::kForwarder && config_.forwarders > 1;
+  // A process that we replace and that is silent may listen yet: it must not keep us from serving.
+  const bool shared =
+      succession_ || (role_.kind == Role::Kind::kForwarder && config_.forwarders > 1);
   front_ = std::make_unique<http::SenderFront>(forwarder_.get(), std::move(names), &counters_);
-  if (!config_.listen.empty() && !front_->Listen(config_.listen, shared, why)) return false;
+  if (claimed_.sender_listener >= 0) {
+    if (!front_->AdoptListener(claimed_.sender_listener)) return *why = "cannot listen", false;
+  } else if (!config_.listen.empty() && !front_->Listen(config_.listen, shared, why)) {
+    return false;
+  }
   // A Gearman worker's next hop belongs to the forwarder that it connects to, and so do the jobs
   // it may be given: one forwarder has them all.
   if (!config_.gearman_listen.empty() && role_.index == 0) {
     gearman_ = std::make_unique<gearman::Front>(forwarder_.get(), config_, &counters_);
     forwarder_->AddDriver(gearman_.get());
-    if (!gearman_->Listen(config_.gearman_listen, why)) return false;
+    if (claimed_.gearman_listener >= 0) {
+      if (!gearman_->AdoptListener(claimed_.gearman_listener)) return *why = "cannot listen", false;
+    } else if (!gearman_->Listen(config_.gearman_listen, why)) {
+      return false;
+    }
   }
   if (role_.kind != Role::Kind::kForwarder) return true;
   std::vector<std::string> paths;
@@ -205,6 +256,13 @@
   counters_.lists += 1;
   for (const ListEntry& e : list.entries) SetAddress(e.member.worker, e.address, e.most_out);
   planner_->ListKnown(kind, list.Members());
+  if (succession_) succession_->TellDown();
+}
+
+bool Node::Maintain(const std::string& next_hop, bool out) {
+  if (!planner_->Maintain(next_hop, out)) return false;
+  if (succession_) succession_->TellBan(next_hop, out);
+  return true;
 }
 
 void Node::BeginStop() {
@@ -214,7 +272,8 @@
   if (front_) front_->BeginStop();
   if (gearman_) gearman_->BeginStop();
   loop_.deadlines().At(loop_.Now() + kStopAfterS, [this] {
-    if (front_) front_->CloseIdle();
+    // With another process at our address nobody needs to be closed on: all rest there.
+    if (front_ && !(succession_ && succession_->leaving())) front_->CloseIdle();
     if (gearman_) gearman_->StopListening();
     CheckStopped();
   });
@@ -224,7 +283,8 @@
   const bool done = forwarder_ ? forwarder_->open() == 0 && front_->connections() == 0
                                : planner_->open_envelopes() == 0;
   // A last answer may still be on its way out to a peer that reads slowly.
-  const bool flushed = !gearman_ || gearman_->Flushed() || loop_.Now() > flush_until_;
+  const bool handed = !succession_ || succession_->Flushed();
+  const bool flushed = handed && (!gearman_ || gearman_->Flushed() || loop_.Now() > flush_until_);
   if (done && flushed) return loop_.Stop();
   if (!done) flush_until_ = loop_.Now() + kFlushS;
   loop_.deadlines().At(loop_.Now() + kStopCheckS, [this] { CheckStopped(); });
--- a/src/node.h
+++ b/src/node.h
@@ -13,6 +13,7 @@
 #include "net/discovery.h"
 #include "net/forwarder.h"
 #include "net/gearman/front.h"
+#include "net/handover/succession.h"
 #include "net/http/next_hop_pool.h"
 #include "net/http/sender_front.h"
 #include "net/link/link.h"
@@ -38,8 +39,11 @@
   // SIGTERM and SIGINT stop it, SIGUSR1 prints the counters, SIGHUP has `config_path` read again.
   void CatchSignals(std::string config_path);
   void Reload();
-  void Run();  // until it has stopped
+  std::function<void()> while_waiting;  // for a process that we replace; for tests in one process
+  void Run();                           // until it has stopped
   void BeginStop();
+  // An operator takes a next hop out, or puts it back; false if it is not known.
+  bool Maintain(const std::string& next_hop, bool out);
   void PrintCounters(std::ostream& out) const;
   std::string Figures() const;  // one a line, as at the second address
   std::string admin_address() const { return admin_->address(); }
@@ -73,6 +77,8 @@
   std::unique_ptr<gearman::Front> gearman_;
   std::unique_ptr<link::PlannerClient> client_;
   std::unique_ptr<admin::AdminServer> admin_;
+  std::unique_ptr<handover::Succession> succession_;
+  handover::Claimed claimed_;  // from the process before
   EventPtr term_, interrupt_, usr1_, hangup_;
   std::string config_path_;
   bool stopping_ = false;
--- a/src/state.h
+++ b/src/state.h
@@ -26,6 +26,7 @@
   double out = 0;     // own slots out
   double memory_out = 0;  // and memory
   double others = 0;  // peers' slots out, as they last told
+  double mate = 0;    // of these, the ones of this dispatcher's other process
   double limit = 1;  // learned threshold on own slots out
   // Load report, as far as it is known.
   double free = 0, queued = 0, held = -1, memory = kInf, report_at = -kInf, sent_since = 0;
@@ -37,6 +38,12 @@
   // Cold budget. Put back by hand, it is as cold as after a start, which the list may tell late.
   double cold_tokens = 0, cold_at = 0, back_at = 0;
 
+  template <typename Visitor>
+  void Visit(Visitor& v) {  // what a process hands to the one that replaces it
+    v(name, hash, zone, kind, cell, capacity, born, listed, out_by_hand, limit, pace, pace_n, pace_at, wait, wait_at);
+    v(heard_at, probed_at, eject_until, eject_s, errors, ejected, probation, cold_tokens, cold_at, back_at);
+  }
+
   void Follow(const Member& m, int kinds, int zones) {
     zone = std::clamp(m.zone, 0, zones - 1);
     kind = std::clamp(m.kind, 0, kinds - 1);
@@ -135,6 +142,24 @@
 // The latest reports of peers, one row each.
 struct PeerTable {
   std::vector<Peer> rows;
+  Peer mate;
+
+  // What live peers have out at each worker, by their last word.
+  void SumOut(std::vector<Worker>* workers, double since) const {
+    for (Worker& w : *workers) w.others = w.mate = 0;
+    const auto add = [&](const Peer& peer, bool is_mate) {
+      if (peer.heard_at < since) return;
+      for (const auto& [tag, out] : peer.out) {
+        for (Worker& w : *workers) {
+          if (static_cast<std::uint16_t>(w.hash) != tag) continue;
+          w.others += out;
+          if (is_mate) w.mate += out;
+        }
+      }
+    };
+    for (const Peer& peer : rows) add(peer, false);
+    add(mate, true);
+  }
 
   // The sum of own and fresh rows, peers never heard taken as the average one. Those unheard since
   // `since` are dead.
--- a/src/support.h
+++ b/src/support.h
@@ -3,11 +3,13 @@
 #ifndef DECKSAIL_SRC_SUPPORT_H_
 #define DECKSAIL_SRC_SUPPORT_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <unordered_map>
 #include <vector>
 
@@ -76,6 +78,55 @@
   return Mix(h, text.size());
 }
 
+// Write and read fields one after the other, as they lie in memory: for the same program only.
+struct Saver {
+  std::string out;
+  template <typename... Fields>
+  void operator()(const Fields&... fields) {
+    (Put(fields), ...);
+  }
+  template <typename T>
+  void Put(const T& v) {
+    if constexpr (std::is_trivially_copyable_v<T>) {
+      out.append(reinterpret_cast<const char*>(&v), sizeof v);
+    } else if constexpr (requires { v.first; }) {
+      (*this)(v.first, v.second);
+    } else if constexpr (requires(T& t) { t.Visit(*this); }) {
+      const_cast<T&>(v).Visit(*this);  // a Saver changes nothing
+    } else {  // text, vectors
+      Put(v.size());
+      for (const auto& item : v) Put(item);
+    }
+  }
+};
+struct Loader {
+  std::string_view in;
+  bool ok = true;
+  template <typename... Fields>
+  void operator()(Fields&... fields) {
+    (Get(fields), ...);
+  }
+  template <typename T>
+  void Get(T& v) {
+    if constexpr (std::is_trivially_copyable_v<T>) {
+      if (in.size() < sizeof v) ok = false;
+      if (!ok) return;
+      std::copy_n(in.data(), sizeof v, reinterpret_cast<char*>(&v));
+      in.remove_prefix(sizeof v);
+    } else if constexpr (requires { v.first; }) {
+      (*this)(v.first, v.second);
+    } else if constexpr (requires { v.Visit(*this); }) {
+      v.Visit(*this);
+    } else {
+      std::size_t n = 0;
+      Get(n);
+      if (n > in.size()) ok = false;
+      v.resize(ok ? n : 0);
+      for (auto& item : v) Get(item);
+    }
+  }
+};
+
 struct TextHash {
   using is_transparent = void;
   std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>()(s); }
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -7,14 +7,14 @@
 namespace millethollow {
 
 struct Rig {
-  explicit Rig(int workers = 3, const std::string& extra = "") {
+  explicit Rig(int workers = 3, const std::string& extra = "", const std::string& handover = "") {
     LogLevel() = Level::kError;
     for (int i = 0; i < workers; ++i) this->workers.push_back(std::make_unique<ToyWorker>(&host));
     std::vector<std::string> addresses;
     for (const auto& w : this->workers) addresses.push_back(w->address());
-    Config config;
     std::string why;
     EXPECT_TRUE(ReadConfig(TestConfig(addresses, extra), &config, &why)) << why;
+    config.handover = handover;
     node = std::make_unique<Node>(config);
     EXPECT_TRUE(node->Start(&why)) << why;
   }
@@ -22,14 +22,29 @@
   template <typename Done>
   bool Until(Done done, double most_s = 5) {
     const double until = host.Now() + most_s;
-    while (!done() && host.Now() < until) {
-      for (Loop* loop : {&host, &node->loop()}) {
-        loop->deadlines().At(loop->Now() + 0.001, [] {});
-        loop->Turn();
-      }
-    }
+    while (!done() && host.Now() < until) TurnAll();
     return done();
   }
+  void TurnAll() {
+    for (Loop* loop : {&host, node ? &node->loop() : nullptr, next ? &next->loop() : nullptr}) {
+      if (loop == nullptr) continue;
+      loop->deadlines().At(loop->Now() + 0.001, [] {});
+      loop->Turn();
+    }
+  }
+  // The same program started once more beside itself.
+  bool StartNext() {
+    std::string why;
+    next = std::make_unique<Node>(config);
+    next->while_waiting = [this] {
+      if (!node) return;
+      node->loop().deadlines().At(node->loop().Now() + 0.001, [] {});
+      node->loop().Turn();
+    };
+    const bool started = next->Start(&why);
+    EXPECT_TRUE(started) << why;
+    return started;
+  }
   std::unique_ptr<Raw> Client() { return std::make_unique<Raw>(&host, node->http_address()); }
   std::unique_ptr<GearmanPeer> Gearman() {
     return std::make_unique<GearmanPeer>(&host, node->gearman_address());
@@ -47,7 +62,8 @@
   }
   Loop host;
   std::vector<std::unique_ptr<ToyWorker>> workers;
-  std::unique_ptr<Node> node;
+  Config config;
+  std::unique_ptr<Node> node, next;
 };
 
 }  // namespace millethollow
