--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -122,6 +122,13 @@
 struct Mate {
   bool present = false, leaving = false;
 };
+// Other settings from now on, with the same tenants, zones, kinds and columns. Classes keep their
+// indices and more may follow; those in `begun` mean another class than before. Open jobs keep the
+// number of attempts that they came with.
+struct SettingsChanged {
+  const Settings* settings = nullptr;
+  const std::vector<int>* begun = nullptr;
+};
 struct JobArrived {
   std::string_view id;
   double expires_s = 0;
@@ -171,7 +178,8 @@
   std::string_view body;
 };
 using Event = std::variant<Started, MembersKnown, JobArrived, StreamBegan, AttemptNote, AttemptEnded,
-                           JobGone, TimerFired, ProbeAnswered, PeerMessage, Maintenance, Mate>;
+                           JobGone, TimerFired, ProbeAnswered, PeerMessage, Maintenance, Mate,
+                           SettingsChanged>;
 
 // Actions, to be carried out in the order given.
 struct Send {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -116,6 +116,7 @@
   void On(const JobArrived& e) {
     if (e.cls < 0 || e.cls >= classes_ || jobs_.contains(e.id)) return;
     Job job = JobOf(e, tenants_);
+    job.most_tries = s_.most_tries;
     memory_.Add(job.memory / job.slots, 200);
     Bucket& bucket = buckets_[BucketOf(job)];
     if (!bucket.known) {
@@ -599,7 +600,7 @@
 
   // Sends the job somewhere it may go; false if there is no such place now.
   bool Place(Job& job) {
-    if (job.attempts.size() >= Idx(s_.most_tries) || job.expires_at <= now_) return false;
+    if (job.attempts.size() >= Idx(job.most_tries) || job.expires_at <= now_) return false;
     const ClassSettings& c = ClassOf(job.cls);
     int anchor = -1;
     for (const Attempt& a : job.attempts) {
@@ -907,6 +908,18 @@
     RemakePools();
   }
 
+  void On(const SettingsChanged& e) {
+    s_ = *e.settings;
+    classes_ = static_cast<int>(s_.classes.size());
+    if (s_.tenants.empty()) s_.tenants.push_back({.share = 1});
+    buckets_.resize(Idx(classes_ * tenants_));
+    run_.resize(s_.classes.size());
+    for (const int c : *e.begun) {
+      run_[Idx(c)] = {};
+      std::fill_n(buckets_.begin() + c * tenants_, tenants_, Bucket{});
+    }
+  }
+
   void StartAfresh(Worker& w) {
     w.ejected = w.probation = false;
     w.eject_s = w.errors = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -130,8 +130,23 @@
       !Read(limits, "connect_timeout_s", &c->connect_timeout_s, why)) {
     return false;
   }
+  c->text = text;
+  // Numbers, not words that read like numbers: a time or count of 0 would end every job at once.
+  const auto above_zero = [&](const Json& object, const char* key) {
+    const auto it = object.find(key);
+    if (it == object.end() || (it->is_number() && it->get<double>() > 0)) return true;
+    *why = std::string("configuration: '") + key + "' is not a number above 0";
+    return false;
+  };
+  if (!above_zero(limits, "most_tries")) return false;
+  if (const auto list = settings.find("classes"); list != settings.end()) {
+    for (const Json& item : *list) {
+      if (item.is_object() && !above_zero(item, "give_up_s")) return false;
+    }
+  }
   if (root.contains("known")) c->known = root["known"].dump();
   c->classes = NamesOf(settings, "classes");
+  c->live.assign(c->classes.size(), true);
   c->tenants = NamesOf(settings, "tenants");
   c->zones = NamesOf(settings, "zones");
   c->kinds = NamesOf(settings, "kinds");
@@ -170,7 +185,8 @@
   if (file.empty()) return *why = "configuration: give --config FILE or set LB_CONFIG", false;
   std::ifstream in(file);
   std::stringstream text;
-  if (!in || !(text << in.rdbuf())) return *why = "configuration: cannot read " + file, false;
+  if (!in) return *why = "configuration: cannot read " + file, false;
+  if (!(text << in.rdbuf())) return *why = "configuration: nothing to be read in " + file, false;
   if (!ReadConfig(text.str(), config, why)) return false;
   if (config->name.empty()) config->name = env("LB_NAME");
   if (config->listen.empty()) config->listen = env("LB_LISTEN");
@@ -193,17 +209,4 @@
          check(config->gearman_listen, "gearman");
 }
 
-bool ReloadConfig(const std::string& path, Config* config, std::string* why) {
-  Config fresh;
-  if (!LoadConfig(path, &fresh, why)) return false;
-  if (fresh.discovery.empty() != config->discovery.empty()) {
-    *why = "configuration: discovery can't be begun or ended without a restart";
-    return false;
-  }
-  config->discovery = fresh.discovery;
-  config->known = fresh.known;
-  config->log_level = fresh.log_level;
-  return true;
-}
-
 }  // namespace millethollow
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -26,6 +26,8 @@
 
   // From the settings.
   decksail::Settings settings;
+  std::string text;        // the whole file
+  std::vector<bool> live;  // by class: may be asked for; false: only open jobs have it yet
   std::vector<std::string> classes, tenants, zones, kinds, columns;
   std::string handover;  // folder where a process finds the one that it replaces; empty: none
   double conn_idle_s = 60, connect_timeout_s = 0.25;
@@ -42,10 +44,6 @@
 
 // Reads a file's text. Unknown keys are ignored; false, with one clear line, if it can't be used.
 bool ReadConfig(std::string_view text, Config* config, std::string* why);
-// The file of a program that runs, read again. Takes over what can change under load: discovery,
-// the list of known next hops and the log level; all else waits for a restart. False, with one
-// clear line, if the new file can't be used: then `config` stays as it was.
-bool ReloadConfig(const std::string& path, Config* config, std::string* why);
 // From `path`, or else from $LB_CONFIG, with the other LB_* variables where the file is silent.
 bool LoadConfig(const std::string& path, Config* config, std::string* why);
 
--- /dev/null
+++ b/src/config/reload.cpp
@@ -0,0 +1,165 @@
+#include "config/reload.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace millethollow {
+namespace {
+
+using Json = nlohmann::json;
+using decksail::ClassSettings;
+
+// A program on the platform has none of these; in an operator's file they come and go.
+bool Optional(const std::string& key) { return key == "log_level" || key == "gearman"; }
+
+// The keys that all of `items` have.
+std::set<std::string> Common(const std::vector<const Json*>& items) {
+  std::set<std::string> keys;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    std::set<std::string> own;
+    for (const auto& [key, value] : items[i]->items()) {
+      if (i == 0 || keys.contains(key)) own.insert(key);
+    }
+    keys = std::move(own);
+  }
+  return keys;
+}
+
+// Classes of one effect have the same keys; tenants all have.
+std::string Sort(const Json& item) {
+  const auto it = item.find("semantics");
+  return it != item.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+
+bool CheckItems(const Json& used, const Json& fresh, const std::string& at, std::string* why) {
+  std::map<std::string, std::vector<const Json*>> sorts;
+  std::vector<const Json*> all;
+  for (const Json& item : used) {
+    if (!item.is_object()) return true;
+    sorts[Sort(item)].push_back(&item);
+    all.push_back(&item);
+  }
+  if (all.empty()) return true;
+  if (fresh.empty()) return *why = "configuration: " + at + " is empty", false;
+  for (const Json& item : fresh) {
+    if (!item.is_object()) return *why = "configuration: " + at + " has the wrong type", false;
+    const auto like = sorts.find(Sort(item));
+    for (const std::string& key : Common(like == sorts.end() ? all : like->second)) {
+      const auto it = item.find(key);
+      if (it != item.end() && !it->is_null()) continue;
+      return *why = "configuration: " + at + " misses '" + key + "'", false;
+    }
+  }
+  return true;
+}
+
+bool CheckKeys(const Json& used, const Json& fresh, const std::string& at, std::string* why) {
+  for (const auto& [key, value] : used.items()) {
+    if (value.is_null() || (at.empty() && Optional(key))) continue;
+    const std::string path = at.empty() ? key : at + "." + key;
+    const auto it = fresh.find(key);
+    if (it == fresh.end() || it->is_null()) {
+      return *why = "configuration: '" + path + "' is missing", false;
+    }
+    const bool numbers = value.is_number() && it->is_number();
+    if (!numbers && it->type() != value.type()) {
+      return *why = "configuration: '" + path + "' has the wrong type", false;
+    }
+    if (value.is_object() && !CheckKeys(value, *it, path, why)) return false;
+    if (value.is_array() && at != "known" && !CheckItems(value, *it, path, why)) return false;
+  }
+  return true;
+}
+
+bool Same(const ClassSettings& a, const ClassSettings& b) {
+  return a.aim_s == b.aim_s && a.stretch == b.stretch && a.give_up_s == b.give_up_s &&
+         a.importance == b.importance && a.late_worth == b.late_worth &&
+         a.semantics == b.semantics && a.group == b.group && a.window_s == b.window_s &&
+         a.kind == b.kind && a.priority == b.priority && a.streamed == b.streamed;
+}
+
+}  // namespace
+
+bool CheckWhole(std::string_view used, std::string_view fresh, std::string* why) {
+  const Json before = Json::parse(used, nullptr, false, true);
+  const Json after = Json::parse(fresh, nullptr, false, true);
+  if (!after.is_object()) return *why = "configuration: not a JSON object", false;
+  return !before.is_object() || CheckKeys(before, after, "", why);
+}
+
+ClassChanges MergeClasses(const Config& fresh, const std::function<bool(int)>& in_use,
+                          Config* config) {
+  ClassChanges changes;
+  std::vector<bool> live(config->classes.size(), false);
+  std::vector<int> now;  // by the fresh file's order
+  std::vector<std::size_t> homeless;
+  for (std::size_t c = 0; c < fresh.classes.size(); ++c) {
+    int index = -1;
+    for (std::size_t i = 0; i < config->classes.size(); ++i) {
+      if (config->classes[i] != fresh.classes[c] || live[i]) continue;
+      if (Same(config->settings.classes[i], fresh.settings.classes[c])) index = static_cast<int>(i);
+    }
+    now.push_back(index);
+    if (index >= 0) live[static_cast<std::size_t>(index)] = true;
+    if (index < 0) homeless.push_back(c);
+  }
+  for (const std::size_t c : homeless) {
+    std::size_t i = 0;
+    // One that was live until now may yet be on its way in: it is not used again at once.
+    while (i < live.size() && (live[i] || config->live[i] || in_use(static_cast<int>(i)))) ++i;
+    if (i == live.size()) {
+      live.push_back(false);
+      config->live.push_back(false);
+      config->classes.emplace_back();
+      config->settings.classes.emplace_back();
+    }
+    config->classes[i] = fresh.classes[c];
+    config->settings.classes[i] = fresh.settings.classes[c];
+    live[i] = true;
+    now[c] = static_cast<int>(i);
+    changes.begun.push_back(now[c]);
+  }
+  config->live = std::move(live);
+  config->gearman_functions = fresh.gearman_functions;
+  for (auto& [name, function] : config->gearman_functions) {
+    function.cls = now[static_cast<std::size_t>(function.cls)];
+  }
+  return changes;
+}
+
+bool ReloadConfig(const std::string& path, const std::function<bool(int)>& in_use, Config* config,
+                  ClassChanges* changes, std::string* why) {
+  Config fresh;
+  if (!LoadConfig(path, &fresh, why) || !CheckWhole(config->text, fresh.text, why)) return false;
+  if (fresh.discovery.empty() != config->discovery.empty()) {
+    *why = "configuration: discovery can't be begun or ended without a restart";
+    return false;
+  }
+  config->text = fresh.text;
+  config->discovery = fresh.discovery;
+  config->known = fresh.known;
+  config->log_level = fresh.log_level;
+  *changes = MergeClasses(fresh, in_use, config);
+  // The shape of the tier, the fleet and the reports stays; peers and workers are known by it.
+  decksail::Settings& now = config->settings;
+  const decksail::Settings before = now;
+  now = fresh.settings;
+  now.classes = before.classes;
+  now.ordinal = before.ordinal;
+  now.dispatchers = before.dispatchers;
+  now.peers = before.peers;
+  now.zone = before.zone;
+  now.zones = before.zones;
+  now.kinds = before.kinds;
+  now.discovery_ask = before.discovery_ask;
+  now.probing = before.probing;
+  now.report_source = before.report_source;
+  now.report_columns = before.report_columns;
+  now.tells_start = before.tells_start;
+  if (fresh.tenants != config->tenants) now.tenants = before.tenants;
+  return true;
+}
+
+}  // namespace millethollow
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -120,6 +120,7 @@
   Entry& entry = ledger_[id];
   entry.wire_id = envelope.wire_id;
   entry.cls = envelope.cls;
+  entry.most_tries = settings_.most_tries;
   entry.expiry = deadlines_->At(envelope.expires_at, [this, id] { Expire(id); });
   Envelope meta = envelope;
   meta.body.clear();
@@ -267,11 +268,33 @@
   return true;
 }
 
-void Planner::NameClasses(std::vector<std::string> names) {
+void Planner::NameClasses(std::vector<std::string> names, std::vector<bool> live) {
+  class_live_ = std::move(live);
   class_names_ = std::move(names);
   for (const std::string& name : class_names_) counters_->classes.try_emplace(name);
 }
 
+int Planner::ClassIndex(const std::string& name) const {
+  for (std::size_t c = 0; c < class_names_.size(); ++c) {
+    if (class_live_[c] && class_names_[c] == name) return static_cast<int>(c);
+  }
+  return -1;
+}
+
+void Planner::Configure(const decksail::Settings& settings, std::vector<std::string> names,
+                        std::vector<bool> live, std::vector<int> begun) {
+  settings_ = settings;
+  NameClasses(std::move(names), std::move(live));
+  Post([this, settings, begun = std::move(begun)] {
+    Deliver(decksail::SettingsChanged{&settings, &begun});
+  });
+}
+
+bool Planner::InUse(int cls) const {
+  return std::any_of(ledger_.begin(), ledger_.end(),
+                     [cls](const auto& entry) { return entry.second.cls == cls; });
+}
+
 std::pair<std::size_t, std::size_t> Planner::Members() const {
   std::size_t listed = 0, avoided = 0;
   for (const auto& [name, hop] : next_hops_) {
@@ -291,7 +314,7 @@
 const char* Planner::WhyNot(const Entry& entry, EnvelopeId id, const std::string& next_hop) const {
   const double now = hooks_.now();
   if (entry.answered) return "answered";
-  if (entry.attempts.size() >= static_cast<std::size_t>(settings_.most_tries)) return "tries";
+  if (entry.attempts.size() >= static_cast<std::size_t>(entry.most_tries)) return "tries";
   const auto it = next_hops_.find(next_hop);
   if (it == next_hops_.end()) return "unlisted";
   const NextHop& hop = it->second;
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -55,8 +55,14 @@
   // An operator takes a next hop out of service, or puts it back. The state stands over whatever
   // lists say; one call back undoes any number out. False if no such next hop was ever listed.
   bool Maintain(const std::string& next_hop, bool out);
-  // The names of the classes, by index, for the figures.
-  void NameClasses(std::vector<std::string> names);
+  // The names of the classes, by index; those not live only open envelopes have.
+  void NameClasses(std::vector<std::string> names, std::vector<bool> live);
+  int ClassIndex(const std::string& name) const;  // -1: none
+  // Other settings under load: open envelopes keep their class, and so its rules, and the number of
+  // attempts that they came with.
+  void Configure(const decksail::Settings& settings, std::vector<std::string> names,
+                 std::vector<bool> live, std::vector<int> begun);
+  bool InUse(int cls) const;  // by an open envelope
 
   // While a process is replaced, two planners are one. What is known of a next hop goes from the
   // old one to the new: when a drain was told or it was taken out, each -1 if it was not.
@@ -89,7 +95,7 @@
     bool began = false;  // word has come that it runs
   };
   struct Entry {
-    int cls = 0;
+    int cls = 0, most_tries = 1;
     std::string wire_id;
     bool answered = false;
     std::vector<Attempt> attempts;
@@ -145,6 +151,7 @@
   bool running_ = false;
   std::size_t pending_ = 0;
   std::vector<std::string> class_names_;
+  std::vector<bool> class_live_;
 };
 
 // The link for a forwarder in the planner's own process.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "config/haproxy.h"
+#include "config/reload.h"
 #include "log.h"
 #include "node.h"
 #include "supervisor.h"
@@ -84,7 +85,11 @@
       config.planners, config.forwarders, [&](Role role) { return RunNode(config, role, path); },
       // What is started again later starts by the new file.
       [&] {
-        if (millethollow::ReloadConfig(path, &config, &why)) return true;
+        millethollow::ClassChanges changes;
+        if (millethollow::ReloadConfig(
+                path, [](int) { return false; }, &config, &changes, &why)) {
+          return true;
+        }
         millethollow::LogLine(Level::kError) << why << "; the old one stays";
         return false;
       });
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -44,6 +44,11 @@
   return it == held_.end() ? nullptr : &it->second.held;
 }
 
+bool Forwarder::InUse(int cls) const {
+  return std::any_of(held_.begin(), held_.end(),
+                     [cls](const auto& h) { return h.second.held.envelope.cls == cls; });
+}
+
 void Forwarder::Gone(EnvelopeId id) {
   const auto it = held_.find(id);
   if (it == held_.end() || it->second.answered) return;
--- a/src/net/forwarder.h
+++ b/src/net/forwarder.h
@@ -57,6 +57,7 @@
   void Gone(EnvelopeId id);
   const Held* Find(EnvelopeId id) const;
   std::size_t open() const { return held_.size(); }
+  bool InUse(int cls) const;  // by an envelope held here
 
   // From the drivers.
   void AttemptBegan(EnvelopeId id, int attempt);
--- a/src/net/http/sender_front.h
+++ b/src/net/http/sender_front.h
@@ -36,6 +36,7 @@
   // `shared`: other processes listen on the same address too.
   bool Listen(const std::string& address, bool shared, std::string* why);
   std::string address() const { return listener_.address(); }
+  void SetNames(Names names) { names_ = std::move(names); }
   void SetServing(bool serving) { serving_ = serving; }
   // Goes on serving, and asks each sender to leave with its next answer.
   void BeginStop() { stopping_ = true; }
--- a/src/net/link/link.cpp
+++ b/src/net/link/link.cpp
@@ -93,7 +93,7 @@
       case Kind::kTaken: {
         Envelope e;
         e.id = f.U64();
-        e.cls = f.I32();
+        const std::string cls = f.Text();
         e.tenant = f.I32();
         e.wire_id = f.Text();
         e.affinity = f.Text();
@@ -103,8 +103,12 @@
         e.memory = f.Real();
         e.size_hint_s = f.Real();
         e.retry = f.U8() != 0;
-        const auto classes = static_cast<int>(planner.settings().classes.size());
-        if (!f.Whole() || !Mine(e.id) || e.cls < 0 || e.cls >= classes) return false;
+        if (!f.Whole() || !Mine(e.id)) return false;
+        e.cls = planner.ClassIndex(cls);
+        if (e.cls < 0) {  // of a file that only one of the two has read yet
+          Answer(e.id, {.kind = FinalAnswer::Kind::kDeferred});
+          return true;
+        }
         planner.Taken(e);
         return true;
       }
@@ -283,7 +287,7 @@
 void PlannerClient::Taken(const Envelope& e) {
   Write(Writer(Kind::kTaken)
             .U64(e.id)
-            .I32(e.cls)
+            .Text(hooks_.class_name(e.cls))
             .I32(e.tenant)
             .Text(e.wire_id)
             .Text(e.affinity)
--- a/src/net/link/link.h
+++ b/src/net/link/link.h
@@ -46,6 +46,7 @@
     std::function<void(const std::string& next_hop, const std::string& address, std::size_t most)>
         address;
     std::function<void(bool)> linked;  // a planner is there, or is lost
+    std::function<std::string(int)> class_name;
   };
   PlannerClient(Forwarder* forwarder, std::vector<std::string> paths, std::size_t first,
                 Hooks hooks);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -4,7 +4,9 @@
 #include <csignal>
 #include <random>
 #include <sstream>
+#include <utility>
 
+#include "config/reload.h"
 #include "log.h"
 
 namespace millethollow {
@@ -14,6 +16,8 @@
 constexpr double kStopCheckS = 0.02;
 constexpr double kTurnedAwayS = 0.5;  // advised to senders when there is no planner
 constexpr double kFlushS = 2.0;
+constexpr double kLeftOutS = 1.2;    // what is on its way when its class ends is still taken
+const std::string kNoName(1, '\n');  // none that a header can hold
 
 }  // namespace
 
@@ -95,7 +99,7 @@
   hooks.log = [](const std::string& line) { LogLine(Level::kWarn) << "planner: " << line; };
   planner_ =
       std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks, &counters_);
-  planner_->NameClasses(config_.classes);
+  planner_->NameClasses(config_.classes, config_.live);
   if (forwarder_) {
     const std::uint64_t number = planner_->AddForwarder(forwarder_.get(), true);
     local_link_ = std::make_unique<LocalLink>(planner_.get(), number);
@@ -158,17 +162,10 @@
                                                    .columns = config_.columns,
                                                    .counters = &counters_});
   forwarder_->AddDriver(pool_.get());
-  http::Names names{.classes = config_.classes, .tenants = config_.tenants, .keyed = {}};
-  if (config_.settings.retry_after) {
-    names.retry_after_s = std::min(kTurnedAwayS, config_.settings.max_retry_after_s);
-  }
-  for (const auto& c : config_.settings.classes) {
-    names.keyed.push_back(c.semantics == decksail::Semantics::kByKey);
-  }
   // A process that we replace and that is silent may listen yet: it must not keep us from serving.
   const bool shared =
       succession_ || (role_.kind == Role::Kind::kForwarder && config_.forwarders > 1);
-  front_ = std::make_unique<http::SenderFront>(forwarder_.get(), std::move(names), &counters_);
+  front_ = std::make_unique<http::SenderFront>(forwarder_.get(), NamesNow(), &counters_);
   if (claimed_.sender_listener >= 0) {
     if (!front_->AdoptListener(claimed_.sender_listener)) return *why = "cannot listen", false;
   } else if (!config_.listen.empty() && !front_->Listen(config_.listen, shared, why)) {
@@ -197,10 +194,25 @@
               [this](bool linked) {
                 front_->SetServing(linked);
                 if (linked && gearman_) gearman_->AnnounceWorkers();
-              }});
+              },
+          .class_name =
+              [this](int cls) { return config_.classes[static_cast<std::size_t>(cls)]; }});
   return true;
 }
 
+http::Names Node::NamesNow() const {
+  http::Names names{.classes = config_.classes, .tenants = config_.tenants, .keyed = {}};
+  for (std::size_t c = 0; c < names.classes.size(); ++c) {
+    if (!config_.live[c]) names.classes[c] = kNoName;
+    const auto semantics = config_.settings.classes[c].semantics;
+    names.keyed.push_back(semantics == decksail::Semantics::kByKey);
+  }
+  if (config_.settings.retry_after) {
+    names.retry_after_s = std::min(kTurnedAwayS, config_.settings.max_retry_after_s);
+  }
+  return names;
+}
+
 void Node::CatchSignals(std::string config_path) {
   config_path_ = std::move(config_path);
   const auto on = [this](int signal, event_callback_fn what) {
@@ -230,7 +242,11 @@
   std::string why;
   TransportMap known;
   const bool fixed = planner_ && !discovery_ && fresh.discovery.empty();
-  if (!ReloadConfig(config_path_, &fresh, &why) ||
+  ClassChanges changes;
+  const auto in_use = [this](int cls) {
+    return (planner_ && planner_->InUse(cls)) || (forwarder_ && forwarder_->InUse(cls));
+  };
+  if (!ReloadConfig(config_path_, in_use, &fresh, &changes, &why) ||
       (fixed && fresh.known != "{}" &&
        !ReadTransportMap(fresh.known, config_.zones, config_.kinds, &known, &why))) {
     LogLine(Level::kError) << why << "; the old one stays";
@@ -238,9 +254,24 @@
     return;
   }
   counters_.reloads += 1;
-  config_ = std::move(fresh);
+  const Config before = std::exchange(config_, std::move(fresh));
   LogLevel() = LevelOf(config_.log_level);
   LogLine(Level::kInfo) << "configuration read again";
+  if (planner_) planner_->Configure(config_.settings, config_.classes, config_.live, changes.begun);
+  if (front_) {
+    http::Names names = NamesNow();
+    for (std::size_t c = 0; c < before.classes.size(); ++c) {
+      const bool replaced = std::find(names.classes.begin(), names.classes.end(),
+                                      before.classes[c]) != names.classes.end();
+      if (before.live[c] && !config_.live[c] && !replaced) names.classes[c] = before.classes[c];
+    }
+    front_->SetNames(std::move(names));
+    loop_.deadlines().Drop(&left_out_);
+    left_out_ = loop_.deadlines().At(loop_.Now() + kLeftOutS, [this] {
+      left_out_ = Deadlines::kNone;
+      front_->SetNames(NamesNow());
+    });
+  }
   if (discovery_) discovery_->Move(config_.discovery);
   if (fixed) OnList(decksail::ListKind::kReplace, known);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -59,6 +59,7 @@
   void SetAddress(const std::string& next_hop, const std::string& address, std::size_t most_out);
   void OnList(decksail::ListKind kind, const TransportMap& list);
   void CheckStopped();
+  http::Names NamesNow() const;
 
   Config config_;
   Role role_;
@@ -83,6 +84,7 @@
   std::string config_path_;
   bool stopping_ = false;
   double flush_until_ = 0;
+  Deadlines::Ticket left_out_ = Deadlines::kNone;
 };
 
 }  // namespace millethollow
--- a/src/state.h
+++ b/src/state.h
@@ -88,6 +88,7 @@
   std::vector<int> asked;  // workers probed for it
   int awaited = 0;         // of them yet to answer
   bool ended = false, dropped = false;
+  int most_tries = 1;  // as the settings were when it came
   int fulls = 0;      // how often it was turned away
   bool late = false;  // kept from starting until its aim was at stake
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -205,7 +205,7 @@
   };
   EXPECT_NE(why("[]", "", "").find("JSON"), std::string::npos);
   EXPECT_NE(why(good, R"("name":"t")", R"("name":7)").find("name"), std::string::npos);
-  EXPECT_NE(why(good, R"("most_tries":4)", R"("most_tries":0)").find("attempts"), std::string::npos);
+  EXPECT_NE(why(good, R"("most_tries":4)", R"("most_tries":0)").find("most_tries"), std::string::npos);
   EXPECT_NE(why(good, R"("by_key")", R"("by_luck")").find("semantics"), std::string::npos);
   EXPECT_NE(why(good, R"("name":"t")", R"("gearman":{"functions":{"f":{"class":"?"}}})").find("f"),
             std::string::npos);
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -6,9 +6,10 @@
 #include <csignal>
 #include <fstream>
 
+#include "config/reload.h"
 #include "net/discovery.h"
 #include "supervisor.h"
-#include "support.h"
+#include "rig.h"
 
 namespace millethollow {
 namespace {
@@ -142,6 +143,107 @@
   unlink(path.c_str());
 }
 
+const std::string kLook = R"({"name":"look","aim_s":0.25,"give_up_s":6,"importance":1,"semantics":"repeatable"})";
+
+std::string Changed(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+TEST(Reload, TurnsDownAFileThatIsNotWhole) {
+  const std::string good = TestConfig({"127.0.0.1:9"});
+  const auto fine = [&](const std::string& text) {
+    Config config;
+    std::string why;
+    const bool ok = ReadConfig(text, &config, &why) && CheckWhole(good, text, &why);
+    EXPECT_EQ(ok, why.empty());
+    EXPECT_EQ(why.find('\n'), std::string::npos);
+    return ok;
+  };
+  EXPECT_TRUE(fine(good));
+  EXPECT_TRUE(fine(Changed(good, kLook + ",", "")));
+  EXPECT_TRUE(fine(Changed(good, R"("most_tries":4)", R"("most_tries":1)")));
+  EXPECT_TRUE(fine(Changed(good, R"(,"log_level":"error")", "")));
+  EXPECT_FALSE(fine(""));
+  for (std::size_t cut = 0; cut < good.size(); cut += 37) EXPECT_FALSE(fine(good.substr(0, cut)));
+  for (const char* key : {R"("name":"t",)", R"("seed":"1f",)", R"("aim_s":0.25,)", R"("give_up_s":25,)",
+                          R"("most_tries":4,)", R"("group":"cell",)", R"("tick_s":0.005,)"}) {
+    EXPECT_FALSE(fine(Changed(good, key, ""))) << key;
+  }
+  for (const char* number : {"0", "-1", "\"6\"", "\"soon\"", "null", "true", "[]"}) {
+    EXPECT_FALSE(fine(Changed(good, R"("give_up_s":6)", std::string(R"("give_up_s":)") + number)));
+    EXPECT_FALSE(fine(Changed(good, R"("most_tries":4)", std::string(R"("most_tries":)") + number)));
+  }
+}
+
+// An index that an open job holds must not come to mean another class.
+TEST(Reload, GivesEachClassAnIndexThatStays) {
+  const std::string text = TestConfig({});
+  const auto read = [](const std::string& from) {
+    Config config;
+    std::string why;
+    EXPECT_TRUE(ReadConfig(from, &config, &why)) << why;
+    return config;
+  };
+  Config config = read(text);
+  bool open = true;
+  const auto in_use = [&](int) { return open; };
+  const Config renamed = read(Changed(text, R"("name":"look")", R"("name":"peek")"));
+  EXPECT_EQ(MergeClasses(renamed, in_use, &config).begun, (std::vector{2}));
+  EXPECT_EQ(config.classes, (std::vector<std::string>{"look", "charge", "peek"}));
+  EXPECT_EQ(config.live, (std::vector{false, true, true}));
+  const Config other = read(Changed(text, R"("give_up_s":25)", R"("give_up_s":20)"));
+  EXPECT_EQ(MergeClasses(other, in_use, &config).begun, (std::vector{3}));  // look is back at 0
+  EXPECT_EQ(config.live, (std::vector{true, false, false, true}));
+  open = false;
+  EXPECT_EQ(MergeClasses(read(text), in_use, &config).begun, std::vector<int>{});
+  const Config more = read(Changed(text, kLook, kLook + "," + Changed(kLook, "look", "more")));
+  EXPECT_EQ(MergeClasses(more, in_use, &config).begun, (std::vector{2}));
+}
+
+// Under load: a class more, one fewer, and fewer attempts. Jobs that are open keep their rules.
+TEST(Reload, ChangesClassesUnderOpenJobs) {
+  Rig rig;
+  const std::string path = testing::TempDir() + "classes" + std::to_string(getpid()) + ".json";
+  const std::string text = rig.config.text;
+  const auto reload = [&](const std::string& fresh) {
+    std::ofstream(path) << fresh;
+    const Counters& c = rig.node->counters();
+    const std::uint64_t before = c.reloads + c.reload_errors;
+    raise(SIGHUP);
+    return rig.Until([&] { return c.reloads + c.reload_errors > before; });
+  };
+  rig.node->CatchSignals(path);
+  std::vector<ToyWorker::Got> held;
+  for (auto& w : rig.workers) w->act = [&](const ToyWorker::Got& g) { held.push_back(g); };
+  auto open = rig.Client();
+  open->Write(Post("a", "look"));
+  ASSERT_TRUE(rig.Until([&] { return !held.empty(); }));
+  EXPECT_EQ(rig.Ask(Post("b", "new"), "\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
+  std::string fresh = Changed(text, kLook, Changed(kLook, "look", "new"));
+  fresh = Changed(fresh, R"("most_tries":4)", R"("most_tries":1)");
+  ASSERT_TRUE(reload(fresh));
+  for (const ToyWorker::Got& g : held) ToyWorker::Lines(g, {ToyWorker::Line(g, "failed")});
+  const std::size_t first = held.size();
+  ASSERT_TRUE(rig.Until([&] { return held.size() > first; }));  // the old job may try again
+  for (auto& w : rig.workers) {
+    w->act = [](const ToyWorker::Got& g) { ToyWorker::Lines(g, {ToyWorker::Line(g, "failed")}); };
+  }
+  const std::size_t before = rig.Got();
+  EXPECT_EQ(rig.Ask(Post("c", "new"), "\r\n\r\n").substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(rig.Got(), before + 1);  // a new one may not
+  for (auto& w : rig.workers) w->act = [](const ToyWorker::Got& g) { ToyWorker::Done(g, "ok"); };
+  EXPECT_EQ(rig.Ask(Post("d", "look"), "\r\n\r\n").substr(0, 12), "HTTP/1.1 200");  // was under way
+  rig.Until([] { return false; }, 1.3);
+  EXPECT_EQ(rig.Ask(Post("e", "look"), "\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
+  ASSERT_TRUE(reload(""));
+  EXPECT_EQ(rig.node->counters().reload_errors, 1u);
+  EXPECT_EQ(rig.Ask(Post("f", "new"), "\r\n\r\n").substr(0, 12), "HTTP/1.1 200");
+  EXPECT_NE(rig.node->Figures().find("new.completed:1|c"), std::string::npos);
+  unlink(path.c_str());
+}
+
 // In two levels the signal comes to the supervisor: each process must hear of it, and one must not
 // be started again by the old file.
 TEST(Reload, ReachesEachProcessOfTwoLevels) {
