Large tiers ask discovery less often and spread, and share cold budgets by the mean rate

Lines: discovery.cpp, watches of 3 s and a call without a wait after each failure, all at one moment. brain.cpp, carried_ from own sends alone: a node just back has none, so its cold budget was 0 while a release made most workers cold.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -205,8 +205,9 @@
       mean_[i] = measured_ ? mean_[i] + weight * (own_[i] - mean_[i]) : own_[i];
     }
     // What a worker carries in good times; low sends after a cut say nothing of capacity.
-    carried_ =
-        std::max(carried_ * std::exp(-span / kCarriedS), own_[Idx(tenants_)] / std::max(1, ready_));
+    // In a large tier what all send on average says more: a node just back has sent nothing yet.
+    const double sent = std::max(own_[Idx(tenants_)], direct_ ? 0.0 : mean_[Idx(tenants_)]);
+    carried_ = std::max(carried_ * std::exp(-span / kCarriedS), sent / std::max(1, ready_));
     measured_ = true;
     if (mate_.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
     if (s_.peers && s_.dispatchers > 1 && !mate_.leaving) {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -23,6 +23,14 @@
 // Of one watch. A watch that falls silent is noticed only kPastWaitS after its wait, and until then
 // all that changes goes unheard: short waits cost discovery little and keep that short too.
 constexpr double kMostWaitS = 3;
+// Discovery works through calls one after the other. Of a tier of this many nodes short watches
+// alone keep it busy, and each change ends all watches at once: most calls then waited until they
+// failed, and the nodes went on sending to workers long gone. Many nodes watch for longer, spread
+// their calls, and keep away for longer after one that failed.
+constexpr int kCrowd = 6;
+constexpr double kCrowdWaitS = 20;
+constexpr double kSpreadS = 0.03;  // for each node of the tier
+constexpr double kMostSpreadS = 1.5;
 // After a move: what the new address has to tell counts as told this long after it, and until then
 // a call that fails is soon tried again.
 constexpr double kMoveS = 4.0;
@@ -171,6 +179,27 @@
   Ask(false, 0);
 }
 
+bool Discovery::Crowd() const { return options_.nodes > kCrowd; }
+
+double Discovery::WaitS() const {
+  if (Crowd()) return std::min(kCrowdWaitS, kMostWaitS * options_.nodes / kCrowd);
+  return std::min(kMostWaitS, std::max(1.0, options_.ask_within_s * 0.8));
+}
+
+double Discovery::Unit() {
+  jitter_ = jitter_ * 6364136223846793005ULL + 1442695040888963407ULL;
+  return static_cast<double>(jitter_ >> 40) / static_cast<double>(1 << 24);
+}
+
+void Discovery::WatchSoon() {
+  const double most = std::min(kMostSpreadS, kSpreadS * options_.nodes);
+  loop_->deadlines().Drop(&retry_);
+  retry_ = loop_->deadlines().At(loop_->Now() + most * Unit(), [this] {
+    retry_ = Deadlines::kNone;
+    if (watching_ && !stopped_) Ask(false, WaitS());
+  });
+}
+
 void Discovery::Subscribe(bool enable) {
   if (stopped_) return;
   if (!enable) {
@@ -179,8 +208,10 @@
     return;
   }
   if (watching_) return;  // the watch is still out: what it has to tell will come
+  if (Crowd() && failures_ > 0 && retry_ != Deadlines::kNone) return;  // not yet
   watching_ = true;
   loop_->deadlines().Drop(&retry_);
+  if (Crowd()) return WatchSoon();
   // The first call does not wait: it says what was missed, and that discovery is there.
   Ask(false, 0);
 }
@@ -230,7 +261,11 @@
   } else if (watching_) {
     // At once, on the same connection: a later call would begin a new watch.
     if (list.version > 0) version_ = list.version;
-    Ask(false, std::min(kMostWaitS, std::max(1.0, options_.ask_within_s * 0.8)));
+    if (Crowd()) {
+      WatchSoon();
+    } else {
+      Ask(false, WaitS());
+    }
   }
   if (list.version > 0) version_ = std::max(version_, list.version);
   hooks_.known(list.full ? ListKind::kReplace : ListKind::kUpdate, list);
@@ -288,8 +323,7 @@
     failures_ = std::min(failures_ + 1, 5);
     // The module asks again in its own time; should it not, we do, later each time, and always
     // within the time that the list may be left unasked.
-    jitter_ = jitter_ * 6364136223846793005ULL + 1442695040888963407ULL;
-    const double unit = static_cast<double>(jitter_ >> 40) / static_cast<double>(1 << 24);
+    const double unit = Unit();
     const double most = 0.4 * options_.ask_within_s;
     double wait =
         std::min(most, 0.5 * (1 << failures_)) * (0.75 + 0.5 * unit) + 0.1 * options_.ask_within_s;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -41,6 +41,7 @@
     double ask_within_s = 10;
     std::vector<std::string> zones, kinds;
     std::uint64_t seed = 0;
+    int nodes = 1;  // that ask the same discovery: many ask less often, and not all at once
   };
   struct Hooks {
     std::function<void(decksail::ListKind, const TransportMap&)> known;
@@ -61,6 +62,10 @@
  private:
   friend class DiscoveryCall;
   void Ask(bool whole, double wait_s);
+  bool Crowd() const;
+  double WaitS() const;
+  double Unit();
+  void WatchSoon();
   void Answered(DiscoveryCall* call, int status, const std::string& body, bool whole);
   void Failed(DiscoveryCall* call, const char* reason, bool whole);
   void Drop(DiscoveryCall* call);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -122,7 +122,8 @@
                            .ask_within_s = config_.settings.ask_within_s,
                            .zones = config_.zones,
                            .kinds = config_.kinds,
-                           .seed = seed},
+                           .seed = seed,
+                           .nodes = config_.settings.dispatchers},
         Discovery::Hooks{
             .known = [this](decksail::ListKind kind, const TransportMap& l) { OnList(kind, l); },
             .unavailable = [this] { planner_->ListKnown(decksail::ListKind::kUnavailable, {}); }});
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -193,6 +193,34 @@
   EXPECT_EQ(unavailable, 1);
 }
 
+// Short watches of many nodes once kept discovery so busy that most of their calls failed.
+TEST(Discovery, ManyNodesWatchForLongerAndKeepAwayAfterAFailure) {
+  Loop loop;
+  ToyWorker server(&loop);
+  std::vector<double> asked;
+  server.act = [&](const ToyWorker::Got& g) {
+    asked.push_back(loop.Now());
+    if (asked.size() == 1) return g.from->Close("test");
+  };
+  int unavailable = 0;
+  std::unique_ptr<Discovery> discovery;
+  discovery = std::make_unique<Discovery>(
+      &loop, Discovery::Options{.address = server.address(), .zones = {}, .kinds = {}, .seed = 3, .nodes = 48},
+      Discovery::Hooks{.known = [](decksail::ListKind, const TransportMap&) {},
+                       .unavailable = [&] {
+                         ++unavailable;
+                         loop.deadlines().At(loop.Now() + 0.1, [&] { discovery->Subscribe(true); });
+                       }});
+  discovery->SetVersion(2);
+  const double began = loop.Now();
+  discovery->Subscribe(true);
+  ASSERT_TRUE(TurnUntil(loop, [&] { return asked.size() == 2; }));
+  EXPECT_LT(asked[0] - began, 1.6);  // all start at once: not all ask at once
+  EXPECT_EQ(server.got[0].head.target, "/catalog/members?after=2&wait_ms=20000");
+  EXPECT_GT(asked[1] - asked[0], 1.0);  // although the module asks sooner
+  EXPECT_EQ(unavailable, 1);
+}
+
 TEST(Config, SaysInOneLineWhatIsWrong) {
   const std::string good = TestConfig({});
   const auto why = [](std::string text, const std::string& from, const std::string& to) {
