--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -316,6 +316,81 @@
   EXPECT_GT(sent_to_w0(30), 8);
 }
 
+// The process that replaces another goes on with what that one learned, or starts as new.
+TEST(BrainTest, WhatWasLearnedGoesOnInTheNextProcess) {
+  const Settings s = Plain();
+  Balancer old(s, 1);
+  Actions actions;
+  const auto members = Fleet(2);
+  const auto Arrived = [](const std::string& id) {
+    JobArrived e;
+    e.id = id;
+    e.expires_s = 6;
+    return e;
+  };
+  old.Handle(1, Started{}, &actions);
+  old.Handle(1, MembersKnown{ListKind::kReplace, &members}, &actions);
+  for (int i = 0; i < 20; ++i) {  // every send to w0 finds nobody there
+    const std::string id = "j" + std::to_string(i);
+    actions.clear();
+    old.Handle(1.0 + i * 0.01, Arrived(id), &actions);
+    for (const Send& send : Only<Send>(actions)) {
+      AttemptEnded end;
+      end.id = id;
+      end.verdict = send.worker == "w0" ? Verdict::kNoConnection : Verdict::kServed;
+      Actions more;
+      old.Handle(1.0 + i * 0.01, end, &more);
+    }
+  }
+  EXPECT_TRUE(old.Avoids("w0"));
+  const std::string text = old.Learned();
+  Balancer next(s, 2), damaged(s, 2);
+  ASSERT_TRUE(next.Learn(text, {0, 1, 2}));
+  next.Handle(2, MembersKnown{ListKind::kRestored, &members}, &actions);
+  EXPECT_TRUE(next.Avoids("w0"));
+  EXPECT_FALSE(next.Avoids("w1"));
+  for (std::size_t cut = 0; cut < text.size(); cut += 7) {
+    EXPECT_FALSE(damaged.Learn(std::string_view(text).substr(0, cut), {0, 1, 2}));
+  }
+  EXPECT_TRUE(damaged.Avoids("w0"));  // nothing was taken, not even that there is such a worker
+  Settings other = s;
+  other.tenants.resize(3);
+  EXPECT_FALSE(Balancer(other, 1).Learn(text, {0, 1, 2}));
+}
+
+// Two processes that are one dispatcher: one must not fill, nor push over, what the other has sent to.
+TEST(BrainTest, CountsTheSlotsOfItsOtherProcessAndSparesColdWorkersWhenItLeaves) {
+  Settings s = Plain();
+  s.dispatchers = 2;
+  s.peers = true;
+  Desk leaving(s), staying(s);
+  std::vector<Member> list = Fleet(2);
+  list[0].born_s = 99;
+  leaving.List(list);
+  leaving.Pass(15);
+  const std::vector<TellPeer> said = Only<TellPeer>(leaving.Do(Mate{true, true}));
+  ASSERT_EQ(said.size(), 1u);
+  EXPECT_EQ(said[0].whom, s.ordinal);  // to its mate, and to nobody else from now on
+  for (const TellPeer& t : Only<TellPeer>(leaving.Pass(2))) EXPECT_EQ(t.whom, s.ordinal);
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    leaving.Job(id);
+    for (const std::string& worker : leaving.sends[id]) EXPECT_EQ(worker, "w1");
+  }
+  staying.List(Fleet(2));
+  staying.Do(Mate{true, false});
+  staying.Do(PeerMessage{s.ordinal, Only<TellPeer>(leaving.Pass(1)).back().body});
+  std::size_t told = 0;  // what it tells its peers holds the slots of both
+  for (const TellPeer& t : Only<TellPeer>(staying.Pass(0.5))) {
+    if (t.whom != s.ordinal) told = std::max(told, t.body.size());
+  }
+  Desk alone(s);
+  alone.List(Fleet(2));
+  std::size_t without = 0;
+  for (const TellPeer& t : Only<TellPeer>(alone.Pass(0.5))) without = std::max(without, t.body.size());
+  EXPECT_GT(told, without);
+}
+
 TEST(BrainTest, ADyingWorkerIsLeftAloneButNeverTheWholeFleet) {
   Desk desk(Plain());
   desk.List(Fleet(10));
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <random>
 
 #include "rig.h"
 
@@ -118,6 +119,27 @@
   EXPECT_EQ(Taken(rig.node), 3u);
 }
 
+// Whatever comes over the link, the process that serves goes on serving.
+TEST_F(Replace, GarbageOverTheLinkHarmsNobody) {
+  const std::string path = std::string(folder.path) + "/millethollow-t-" + rig.config.listen + ".sock";
+  std::mt19937 random(11);
+  auto client = rig.Client();
+  for (int round = 0; round < 40; ++round) {
+    auto link = handover::Link::To(&rig.host, path);
+    ASSERT_NE(link, nullptr);
+    for (int i = 0; i < 8; ++i) {
+      std::string bytes(4 + random() % 60, '\0');
+      for (char& c : bytes) c = static_cast<char>(random());
+      if (bytes.size() > 4) bytes[4] = static_cast<char>(64 + random() % 16);  // a kind that is known
+      if (bytes.size() > 4 && bytes[4] == static_cast<char>(link::Kind::kServing)) bytes[4] = 0;
+      link->Send(bytes);
+    }
+    rig.Until([] { return false; }, 0.005);
+  }
+  rig.Until([] { return false; }, 0.05);
+  Served(client.get(), "a");
+}
+
 TEST_F(Replace, OneAfterAnother) {
   auto client = rig.Client();
   for (int i = 0; i < 4; ++i) {
