--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -97,6 +97,7 @@
   int cell = 0;
   double capacity = 1;
   double born_s = 0;  // latest start; 0: long ago
+  double slots = 0, memory = 0;  // what it holds at once; 0: not told
 };
 
 enum class ListKind : std::uint8_t { kUpdate, kReplace, kRestored, kUnavailable };
@@ -134,6 +135,7 @@
   double expires_s = 0;
   double slots = 1;
   double memory = 0;
+  double bytes = 0;  // of its body, where told
   int tenant = 0;
   int cls = 0;
   bool retry = false;  // marked as a client's repeat
@@ -177,9 +179,15 @@
   int sender = 0;
   std::string_view body;
 };
+// A job that the module put on hold may have found room, at `worker` at least. Without a worker
+// none was to be had, nor room to wait in: the job is ended.
+struct RoomFound {
+  std::string_view id;
+  std::string_view worker;
+};
 using Event = std::variant<Started, MembersKnown, JobArrived, StreamBegan, AttemptNote, AttemptEnded,
                            JobGone, TimerFired, ProbeAnswered, PeerMessage, Maintenance, Mate,
-                           SettingsChanged>;
+                           SettingsChanged, RoomFound>;
 
 // Actions, to be carried out in the order given.
 struct Send {
@@ -213,13 +221,42 @@
   bool enable = true;
 };
 struct FetchList {};
+// No worker has room for the job: whoever keeps the room keeps it until RoomFound. Only where there
+// is such a one.
+struct Hold {
+  std::string id;
+};
 struct Log {
   std::string line;
 };
 using Action =
-    std::variant<Send, Refuse, Fail, CancelAttempt, SetTimer, Probe, TellPeer, Subscribe, FetchList, Log>;
+    std::variant<Send, Refuse, Fail, CancelAttempt, SetTimer, Probe, TellPeer, Subscribe, FetchList, Hold, Log>;
 using Actions = std::vector<Action>;
 
+// Who keeps account of the room at workers. What it holds for one job is not free for another.
+class RoomKeeper {
+ public:
+  virtual ~RoomKeeper() = default;
+  struct Place {
+    bool never = false;       // no worker could ever hold it
+    std::string_view worker;  // one that has room for it now; empty: none
+  };
+  virtual Place Somewhere(std::string_view job) = 0;
+  virtual bool Takes(std::string_view job, std::string_view worker) = 0;
+  virtual double Held(std::string_view worker) const = 0;  // slots, for jobs that wait
+};
+
+// What the module believes of a worker.
+struct WorkerView {
+  std::string_view worker;
+  int kind = 0;
+  bool usable = false, cold = false;
+  double slots = 0, memory = 0;  // as the list told; 0: not told
+  double others = 0;             // slots that other dispatchers have out there, by their last word
+  double free = -1;              // by a report that is still good; -1: there is none
+  double ours = 0;               // own slots out when it was made
+};
+
 class Brain;
 
 // One dispatcher's decisions. Equal settings, seed and events give equal actions.
@@ -235,6 +272,12 @@
   void Handle(double now_s, const Event& event, Actions* actions);
   // Is this a worker that gets nothing new now: drained, out by hand, or left out by choice?
   bool Avoids(std::string_view worker) const;
+  // Jobs start only where `room` lets them, and else wait. To be set before the first event.
+  void KeepRoom(RoomKeeper* room);
+  // Anew after each event that gave another version; the order of workers never changes.
+  std::uint64_t version() const;
+  std::vector<WorkerView> Workers() const;
+  double DemandPart() const;  // this dispatcher's part of all demand, 0 to 1
   // What has been learned, for the process that replaces this one, which takes it before its first
   // event. `classes` says for each of its classes which of the other's it is, -1: none. False, and
   // nothing taken, where the text is not from settings of the same form.
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -20,5 +20,9 @@
   return Carry::In(text, classes, brain_.get());
 }
 bool Balancer::Avoids(std::string_view worker) const { return brain_->Avoids(worker); }
+void Balancer::KeepRoom(RoomKeeper* room) { brain_->KeepRoom(room); }
+std::uint64_t Balancer::version() const { return brain_->version(); }
+std::vector<WorkerView> Balancer::Workers() const { return brain_->Views(); }
+double Balancer::DemandPart() const { return brain_->DemandPart(); }
 
 }  // namespace decksail
--- a/src/benchlink.cpp
+++ b/src/benchlink.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "config/scheduling.h"
 #include "wire.h"
 
 namespace {
@@ -24,8 +25,17 @@
 
 }  // namespace
 
-int main() {
-  decksail::wire::Host host(&std::cerr);
+int main(int argc, char** argv) {
+  millethollow::scheduling::Options options;
+  std::string why;
+  const bool also = argc == 3 && std::string_view(argv[1]) == "--also";
+  if (argc != 1 && !also) why = "usage: decksail_benchlink [--also FILE]";
+  if (also) millethollow::LoadScheduling(argv[2], {}, &options, &why);
+  if (!why.empty()) {
+    std::cerr << "decksail: " << why << "\n";
+    return 1;
+  }
+  decksail::wire::Host host(&std::cerr, options);
   std::vector<char> chunk(1 << 20);
   std::string pending, reply;
   std::size_t start = 0;
--- /dev/null
+++ b/src/bookkeeping.cpp
@@ -0,0 +1,96 @@
+// What the decision module keeps in order: nothing is decided here.
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "brain.h"
+
+namespace decksail {
+
+// To the settings, at the start and when they change. By class first, so that indices stay.
+void Brain::Fit() {
+  classes_ = static_cast<int>(s_.classes.size());
+  if (s_.tenants.empty()) s_.tenants.push_back({.share = 1});
+  tenants_ = static_cast<int>(s_.tenants.size());
+  buckets_.resize(Idx(classes_ * tenants_));
+  run_.resize(s_.classes.size());
+}
+
+void Brain::RemakePools() {  // only when the list or an ejection changes
+  pools_.Remake(workers_);
+  ready_ = ejected_ = 0;
+  most_power_ = 1e-9;
+  double limits = 0;
+  for (const Worker& w : workers_) {
+    if (!w.ready) continue;
+    ready_ += 1;
+    ejected_ += w.ejected;
+    limits += w.limit;
+    most_power_ = std::max(most_power_, Power(w));
+  }
+  if (ready_ > 0) mean_limit_ = limits / ready_;
+  ++pool_version_;
+  ++version_;
+}
+
+Attempt* Brain::Find(std::string_view id, int attempt, Job** job) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || Idx(attempt) >= it->second.attempts.size()) return nullptr;
+  *job = &it->second;
+  return &it->second.attempts[Idx(attempt)];
+}
+
+void Brain::WatchAt(double at, const std::string& id, int attempt) {
+  watch_.push({at, ++order_, id, attempt});
+  if (!watching_) actions_->push_back(SetTimer{kWatchMark, kWatchS / 4});
+  watching_ = true;
+}
+
+void Brain::CancelOpen(const Job& job, bool only_waiting) {
+  for (std::size_t i = 0; s_.cancel && i < job.attempts.size(); ++i) {
+    const Attempt& a = job.attempts[i];
+    if (!a.open || (only_waiting && a.started_at >= 0)) continue;
+    actions_->push_back(CancelAttempt{job.id, static_cast<int>(i)});
+  }
+}
+
+// `counts` is empty where the counts have gone out already. Peers hear of both our processes.
+std::string Brain::Message(bool fresh, std::vector<UsageReport::Usage> counts, bool to_mate) const {
+  std::vector<std::pair<std::uint16_t, int>> out;
+  for (const Worker& w : workers_) {
+    const double held = room_keeper_ ? room_keeper_->Held(w.name) : 0.0;
+    const double slots = w.out + held + (to_mate ? 0.0 : w.mate);
+    if (slots > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
+  }
+  return EncodeReport({fresh, rate_ == kInf ? 0.0 : rate_, direct_ ? own_ : mean_, std::move(out),
+                       std::move(counts)});
+}
+
+std::vector<WorkerView> Brain::Views() const {
+  std::vector<WorkerView> views;
+  views.reserve(workers_.size());
+  for (const Worker& w : workers_) {
+    views.push_back({.worker = w.name,
+                     .kind = w.kind,
+                     .usable = w.ready && !w.ejected,
+                     .cold = Cold(w),
+                     .slots = w.told_slots,
+                     .memory = w.told_memory,
+                     .others = w.others,
+                     .free = now_ - w.report_at < kReportTrustS ? w.free : -1,
+                     .ours = std::max(0.0, w.out - w.sent_since)});
+  }
+  return views;
+}
+
+double Brain::DemandPart() const {
+  const auto sum = [this](const std::vector<double>& rates) {
+    return std::accumulate(rates.begin(), rates.begin() + tenants_, 0.0);
+  };
+  const double all = direct_ ? sum(peers_.Fleet(own_, s_.ordinal, now_ - kStaleReports * interval_))
+                             : s_.dispatchers * sum(mean_);
+  const double even = 1.0 / std::max(1, s_.dispatchers);
+  return all > 0 && measured_ ? std::clamp(sum(own_) / all, even / 4, 1.0) : even;
+}
+
+}  // namespace decksail
--- a/src/brain.h
+++ b/src/brain.h
@@ -33,6 +33,11 @@
            workers_[Idx(it->second)].ejected;
   }
 
+  void KeepRoom(RoomKeeper* room) { room_keeper_ = room; }
+  std::uint64_t version() const { return version_; }
+  std::vector<WorkerView> Views() const;
+  double DemandPart() const;
+
  private:
   friend struct Carry;  // hands what was learned to the process that replaces this one
 
@@ -49,7 +54,10 @@
   void Report();
   void On(const PeerMessage& e);
   static std::uint16_t Tag(const Worker& w) { return static_cast<std::uint16_t>(w.hash); }
-  void SumOthers() { peers_.SumOut(&workers_, now_ - kStaleReports * interval_); }
+  void SumOthers() {
+    peers_.SumOut(&workers_, now_ - kStaleReports * interval_);
+    ++version_;
+  }
   void On(const Mate& e);
 
   // Fleet rate.
@@ -64,6 +72,9 @@
   double ExpectedRun(const Job& job) const;
   double PaceOf(const Worker& w) const;
   double AimOf(const Job& job) const;
+  double SlotsOf(const Worker& w) const {
+    return w.told_slots > 0 ? w.told_slots : kind_slots_[Idx(w.kind)];
+  }
   bool Allowed(const Job& job, int index, int anchor) const;
   std::pair<double, bool> Outlook(const Job& job, const Worker& w) const;
   double Score(const Job& job, const Worker& w, int home_rank) const;
@@ -90,18 +101,21 @@
   // Attempts and final answers.
   bool Place(Job& job);
   void WatchAt(double at, const std::string& id, int attempt);
+  bool PutOnHold(Job& job);
+  void On(const RoomFound& e);
   void Settle(Job& job);
   Attempt* Find(std::string_view id, int attempt, Job** job);
   void On(const AttemptEnded& e);
   void CancelOpen(const Job& job, bool only_waiting);
   void On(const JobGone& e);
-  void On(const StreamBegan& e);
-  void On(const AttemptNote& e);
+  void On(const StreamBegan& e) { Begun(e.id, e.attempt); }
+  void On(const AttemptNote& e) { Begun(e.id, e.attempt); }
   void Begun(std::string_view id, int attempt);
   void On(const ProbeAnswered& e);
   void Answered(std::string_view id);
   bool Hopeless(const Job& job, const Worker& w, double age) const;
   void Overdue(const Watch& watch);
+  void Waited(const Watch& watch);
 
   // Discovery and timers.
   void On(const Started&);
@@ -109,6 +123,7 @@
   void AskIn(double span);
   void On(const TimerFired& e);
   void On(const MembersKnown& e);
+  void Fit();
   void On(const SettingsChanged& e);
   void StartAfresh(Worker& w);
   void On(const Maintenance& e);
@@ -133,8 +148,10 @@
   std::vector<Worker> workers_;
   TextMap<int> index_;
   Pools pools_;
+  RoomKeeper* room_keeper_ = nullptr;
+  std::uint64_t version_ = 0;  // of all that Views tells
   int ready_ = 0, ejected_ = 0;
-  double mean_limit_ = 1, carried_ = 0, out_total_ = 0, most_power_ = 1;
+  double mean_limit_ = 1, carried_ = 0, most_power_ = 1;
   std::uint64_t pool_version_ = 0, homes_version_ = 0;
   std::unordered_map<std::uint64_t, std::vector<int>> homes_;
   std::vector<Mean> run_, kind_pace_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/scheduling.h"
 #include "net/connection.h"
 #include "wire.h"
 
@@ -158,6 +159,7 @@
     *why = "configuration: settings: " + *why;
     return false;
   }
+  if (!ReadScheduling(text, c->classes, &c->scheduling, why)) return false;
   const Json link = Child(root, "levels");
   if (!ReadGearman(Child(root, "gearman"), c, why) || !Read(link, "link", &c->link, why) ||
       !Read(link, "planners", &c->planners, why) ||
@@ -188,6 +190,10 @@
   if (!in) return *why = "configuration: cannot read " + file, false;
   if (!(text << in.rdbuf())) return *why = "configuration: nothing to be read in " + file, false;
   if (!ReadConfig(text.str(), config, why)) return false;
+  // Its classes are named for all sites: one that this file has not yet is no fault.
+  if (!config->also.empty() && !LoadScheduling(config->also, {}, &config->scheduling, why)) {
+    return false;
+  }
   if (config->name.empty()) config->name = env("LB_NAME");
   if (config->listen.empty()) config->listen = env("LB_LISTEN");
   if (config->discovery.empty()) config->discovery = env("LB_DISCOVERY");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decksail/balancer.h"
+#include "scheduling/options.h"
 
 namespace millethollow {
 
@@ -32,7 +33,10 @@
   std::string handover;  // folder where a process finds the one that it replaces; empty: none
   double conn_idle_s = 60, connect_timeout_s = 0.25;
 
+  std::string also;  // a second file that adds the section `scheduling`; empty: none
+
   // Only in an operator's file.
+  scheduling::Options scheduling;
   std::string gearman_listen;
   std::map<std::string, GearmanFunction> gearman_functions;
   int gearman_zone = 0, gearman_kind = 0;
--- a/src/config/reload.cpp
+++ b/src/config/reload.cpp
@@ -12,7 +12,9 @@
 using decksail::ClassSettings;
 
 // A program on the platform has none of these; in an operator's file they come and go.
-bool Optional(const std::string& key) { return key == "log_level" || key == "gearman"; }
+bool Optional(const std::string& key) {
+  return key == "log_level" || key == "gearman" || key == "scheduling";
+}
 
 // The keys that all of `items` have.
 std::set<std::string> Common(const std::vector<const Json*>& items) {
@@ -132,6 +134,7 @@
 bool ReloadConfig(const std::string& path, const std::function<bool(int)>& in_use, Config* config,
                   ClassChanges* changes, std::string* why) {
   Config fresh;
+  fresh.also = config->also;
   if (!LoadConfig(path, &fresh, why) || !CheckWhole(config->text, fresh.text, why)) return false;
   if (fresh.discovery.empty() != config->discovery.empty()) {
     *why = "configuration: discovery can't be begun or ended without a restart";
@@ -141,6 +144,7 @@
   config->discovery = fresh.discovery;
   config->known = fresh.known;
   config->log_level = fresh.log_level;
+  config->scheduling = fresh.scheduling;
   *changes = MergeClasses(fresh, in_use, config);
   // The shape of the tier, the fleet and the reports stays; peers and workers are known by it.
   decksail::Settings& now = config->settings;
--- /dev/null
+++ b/src/config/scheduling.cpp
@@ -0,0 +1,107 @@
+#include "config/scheduling.h"
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace millethollow {
+namespace {
+
+using Json = nlohmann::json;
+
+// Reads the keys of one object, each by its own reader. A key that has none is an error.
+using Readers = std::map<std::string, std::function<bool(const Json&, const std::string&)>>;
+
+bool ReadKeys(const Json& object, const std::string& at, const Readers& readers, std::string* why) {
+  if (!object.is_object()) return *why = "configuration: '" + at + "' is not an object", false;
+  for (const auto& [key, value] : object.items()) {
+    const std::string path = at + "." + key;
+    const auto reader = readers.find(key);
+    if (reader == readers.end()) return *why = "configuration: unknown key '" + path + "'", false;
+    if (!reader->second(value, path)) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+bool ReadScheduling(std::string_view text, const std::vector<std::string>& classes,
+                    scheduling::Options* options, std::string* why) {
+  const Json root = Json::parse(text, nullptr, false, true);
+  if (!root.is_object()) return *why = "configuration: not a JSON object", false;
+  const auto section = root.find("scheduling");
+  if (section == root.end() || section->is_null()) return true;
+  scheduling::Options o = *options;
+  const auto number = [why](double* out, double least, double most) {
+    return [=](const Json& value, const std::string& path) {
+      if (!value.is_number() || value.get<double>() < least || value.get<double>() > most) {
+        std::ostringstream line;
+        line << "configuration: '" << path << "' is not a number from " << least << " to " << most;
+        return *why = line.str(), false;
+      }
+      *out = value.get<double>();
+      return true;
+    };
+  };
+  const auto names = [&](const Json& value, const std::string& path) {
+    const auto text_only = [](const Json& item) { return item.is_string(); };
+    if (!value.is_array() || !std::all_of(value.begin(), value.end(), text_only)) {
+      return *why = "configuration: '" + path + "' is not a list of names", false;
+    }
+    o.hold_classes = value.get<std::vector<std::string>>();
+    for (const std::string& name : o.hold_classes) {
+      if (classes.empty() || std::find(classes.begin(), classes.end(), name) != classes.end()) {
+        continue;
+      }
+      return *why = "configuration: '" + path + "' names no class: " + name, false;
+    }
+    return true;
+  };
+  const auto flag = [why](bool* out) {
+    return [=](const Json& value, const std::string& path) {
+      if (!value.is_boolean()) return *why = "configuration: '" + path + "' is not a flag", false;
+      *out = value.get<bool>();
+      return true;
+    };
+  };
+  const auto group = [why](const Readers& readers) {
+    return [=](const Json& value, const std::string& path) {
+      return ReadKeys(value, path, readers, why);
+    };
+  };
+  o.on = true;  // who writes the section wants it
+  double jobs = static_cast<double>(o.most_jobs);
+  const Readers readers{
+      {"enabled", flag(&o.on)},
+      {"waiting", group({{"jobs", number(&jobs, 1, 1e6)},
+                         {"bytes", number(&o.most_bytes, 0, 1e12)},
+                         {"tenant_share", number(&o.tenant_share, 0.001, 1)}})},
+      {"hold", group({{"classes", names},
+                      {"of_worker", number(&o.hold_of_worker, 0, 1)},
+                      {"of_fleet", number(&o.hold_of_fleet, 0, 1)},
+                      {"seconds", number(&o.hold_s, 0.01, 3600)}})},
+      {"memory_per_slot", number(&o.memory_per_slot, 0, 1e9)},
+  };
+  if (!ReadKeys(*section, "scheduling", readers, why)) return false;
+  o.most_jobs = static_cast<std::size_t>(jobs);
+  *options = std::move(o);
+  return true;
+}
+
+bool LoadScheduling(const std::string& path, const std::vector<std::string>& classes,
+                    scheduling::Options* options, std::string* why) {
+  std::ifstream in(path);
+  std::stringstream text;
+  if (!in || !(text << in.rdbuf())) return *why = "configuration: cannot read " + path, false;
+  const Json root = Json::parse(text.str(), nullptr, false, true);
+  if (!root.is_object()) return *why = "configuration: not a JSON object: " + path, false;
+  for (const auto& [key, value] : root.items()) {
+    if (key != "scheduling") return *why = "configuration: unknown key '" + key + "'", false;
+  }
+  return ReadScheduling(text.str(), classes, options, why);
+}
+
+}  // namespace millethollow
--- a/src/core/envelope.h
+++ b/src/core/envelope.h
@@ -21,10 +21,11 @@
   EnvelopeId id = 0;
   std::string wire_id;  // the sender's own name for it, passed on unchanged
   int cls = 0, tenant = 0;
-  std::string key;        // idempotency key; empty where the class has none
-  std::string affinity;   // what it is about
-  std::string body;       // stays with the forwarder
-  double expires_at = 0;  // on the loop's clock
+  std::string key;             // idempotency key; empty where the class has none
+  std::string affinity;        // what it is about
+  std::string body;            // stays with the forwarder
+  std::size_t body_bytes = 0;  // the planner is told this much of it
+  double expires_at = 0;       // on the loop's clock
   double slots = 1, memory = 0, size_hint_s = 0;
   bool retry = false;  // marked as the sender's repeat
 };
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -21,9 +21,9 @@
 }
 
 Planner::Planner(const decksail::Settings& settings, std::uint64_t seed, Deadlines* deadlines,
-                 Hooks hooks, Counters* counters)
+                 Hooks hooks, Counters* counters, const scheduling::Options& options)
     : settings_(settings),
-      balancer_(settings, seed),
+      balancer_(settings, seed, options),
       deadlines_(deadlines),
       hooks_(std::move(hooks)),
       counters_(counters) {}
@@ -123,6 +123,7 @@
   entry.most_tries = settings_.most_tries;
   entry.expiry = deadlines_->At(envelope.expires_at, [this, id] { Expire(id); });
   Envelope meta = envelope;
+  if (meta.body_bytes == 0) meta.body_bytes = meta.body.size();
   meta.body.clear();
   Post([this, meta = std::move(meta)] {
     const std::string name = std::to_string(meta.id);
@@ -130,6 +131,7 @@
                                  .expires_s = meta.expires_at,
                                  .slots = meta.slots,
                                  .memory = meta.memory,
+                                 .bytes = static_cast<double>(meta.body_bytes),
                                  .tenant = meta.tenant,
                                  .cls = meta.cls,
                                  .retry = meta.retry,
@@ -271,6 +273,7 @@
 void Planner::NameClasses(std::vector<std::string> names, std::vector<bool> live) {
   class_live_ = std::move(live);
   class_names_ = std::move(names);
+  balancer_.NameClasses(class_names_);
   for (const std::string& name : class_names_) counters_->classes.try_emplace(name);
 }
 
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -18,6 +18,7 @@
 #include "core/envelope.h"
 #include "core/planner_link.h"
 #include "decksail/balancer.h"
+#include "scheduling/desk.h"
 
 namespace millethollow {
 
@@ -34,7 +35,7 @@
   };
 
   Planner(const decksail::Settings& settings, std::uint64_t seed, Deadlines* deadlines, Hooks hooks,
-          Counters* counters);
+          Counters* counters, const scheduling::Options& options = {});
 
   // Tells the module that it lives and what it last knew. Call once, before anything else.
   void Start(const std::vector<decksail::Member>& known);
@@ -62,6 +63,8 @@
   // attempts that they came with.
   void Configure(const decksail::Settings& settings, std::vector<std::string> names,
                  std::vector<bool> live, std::vector<int> begun);
+  // Other bounds on the waiting room and on what is held; open envelopes that wait go on waiting.
+  void Configure(const scheduling::Options& options) { balancer_.Configure(options); }
   bool InUse(int cls) const;  // by an open envelope
 
   // While a process is replaced, two planners are one. What is known of a next hop goes from the
@@ -82,6 +85,10 @@
   void ToldDown(const decksail::Member& member);
 
   std::size_t open_envelopes() const { return ledger_.size(); }
+  const scheduling::Desk& desk() const { return balancer_; }
+  const std::string& class_name(int cls) const {
+    return class_names_[static_cast<std::size_t>(cls)];
+  }
   std::size_t pending() const { return pending_; }  // taken and without a final answer yet
   // Next hops on the list, and those of them that nothing new goes to.
   std::pair<std::size_t, std::size_t> Members() const;
@@ -121,6 +128,7 @@
   void Do(const decksail::TellPeer& a);
   void Do(const decksail::Subscribe& a);
   void Do(const decksail::FetchList& a);
+  void Do(const decksail::Hold&) {}  // the desk keeps it
   void Do(const decksail::Log& a);
 
   Entry* Find(EnvelopeId id);
@@ -136,7 +144,7 @@
   void RememberId(std::string wire_id);
 
   decksail::Settings settings_;
-  decksail::Balancer balancer_;
+  scheduling::Desk balancer_;  // the module, with the scheduler before it
   Deadlines* deadlines_;
   Hooks hooks_;
   Counters* counters_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,7 +20,8 @@
 using millethollow::Role;
 
 constexpr std::string_view kUsage =
-    "usage: millethollow [--config FILE] [--check]\n"
+    "usage: millethollow [--config FILE] [--also FILE] [--check]\n"
+    "       --also FILE: adds the section 'scheduling' to what the platform gives\n"
     "       millethollow import-haproxy FILE    writes an operator's file to standard output";
 
 int Complain(const std::string& why) {
@@ -57,13 +58,15 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  std::string path;
+  std::string path, also;
   bool check = false;
   if (argc == 3 && std::string_view(argv[1]) == "import-haproxy") return Import(argv[2]);
   for (int i = 1; i < argc; ++i) {
     const std::string_view arg = argv[i];
     if (arg == "--config" && i + 1 < argc) {
       path = argv[++i];
+    } else if (arg == "--also" && i + 1 < argc) {
+      also = argv[++i];
     } else if (arg == "--check") {
       check = true;
     } else {
@@ -71,6 +74,7 @@
     }
   }
   Config config;
+  config.also = also;
   std::string why;
   if (!millethollow::LoadConfig(path, &config, &why)) return Complain(why);
   if (check) return 0;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -86,6 +86,8 @@
     entry.member.kind = IndexOf(kinds, s, "kind");
     entry.member.cell = static_cast<int>(Number(s, "cell", 0));
     entry.member.capacity = Number(s, "weight", 1.0);
+    entry.member.slots = std::clamp(Number(s, "slots", 0), 0.0, 1e6);
+    entry.member.memory = std::clamp(Number(s, "memory", 0), 0.0, 1e12);
     entry.member.born_s = Number(s, "started_ms", 0) / 1000;  // the loop's clock is Unix time
     list->entries.push_back(std::move(entry));
   }
--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -484,6 +484,7 @@
   m.kind = config_.gearman_kind;
   // Unless the file says that they tell each other, Gearman workers drop no repeats: each is a
   // group of its own, and a charge that one may have run goes to no other.
+  m.slots = 1;  // it grabs one job at a time
   m.cell = config_.gearman_cell >= 0 ? config_.gearman_cell : worker->cell();
   // Never cold: it grabs one job at a time, so no rate of ours can push it over.
   m.born_s = 0;
--- a/src/net/link/link.cpp
+++ b/src/net/link/link.cpp
@@ -103,6 +103,7 @@
         e.memory = f.Real();
         e.size_hint_s = f.Real();
         e.retry = f.U8() != 0;
+        e.body_bytes = f.U64();
         if (!f.Whole() || !Mine(e.id)) return false;
         e.cls = planner.ClassIndex(cls);
         if (e.cls < 0) {  // of a file that only one of the two has read yet
@@ -141,7 +142,8 @@
         return true;
       }
       case Kind::kNextHop: {
-        const decksail::Member member = f.GetMember();
+        decksail::Member member = f.GetMember();
+        member.slots = f.Real();
         if (!f.Whole()) return false;
         planner.LocalNextHop(number_, member);
         return true;
@@ -296,6 +298,7 @@
             .Real(e.memory)
             .Real(e.size_hint_s)
             .U8(e.retry)
+            .U64(e.body.size())
             .Done());
 }
 void PlannerClient::SenderGone(EnvelopeId id) { Write(Writer(Kind::kSenderGone).U64(id).Done()); }
@@ -309,7 +312,7 @@
   Write(Writer(Kind::kProbed).Text(next_hop).Put(outcome).Done());
 }
 void PlannerClient::NextHopChanged(const decksail::Member& member) {
-  Write(Writer(Kind::kNextHop).Put(member).Done());
+  Write(Writer(Kind::kNextHop).Put(member).Real(member.slots).Done());
 }
 
 }  // namespace millethollow::link
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <random>
 #include <sstream>
@@ -19,6 +20,30 @@
 constexpr double kLeftOutS = 1.2;    // what is on its way when its class ends is still taken
 const std::string kNoName(1, '\n');  // none that a header can hold
 
+// What waits for room, for how long it did, and what is held.
+void PrintScheduling(const Planner& planner, std::ostream* out) {
+  const scheduling::Scheduler& s = planner.desk().scheduler();
+  const scheduling::Figures f = s.figures();
+  const std::string at = "app.scheduling.";
+  *out << at << "waiting:" << f.waiting << "|g\n"
+       << at << "reservations:" << f.reservations << "|g\n"
+       << at << "held_slots:" << f.held_slots << "|g\n"
+       << at << "waited:" << f.waited << "|c\n"
+       << at << "backfilled:" << f.backfilled << "|c\n"
+       << at << "broken_off:" << f.broken_off << "|c\n"
+       << at << "turned_away:" << f.turned_away << "|c\n";
+  for (const auto& [cls, count] : s.WaitingByClass()) {
+    *out << at << planner.class_name(cls) << ".waiting:" << count << "|g\n";
+  }
+  for (const auto& [cls, waits] : s.waits()) {
+    if (!waits.known()) continue;
+    for (const auto& [name, p] : {std::pair{"p50", 0.5}, {"p95", 0.95}}) {
+      *out << at << planner.class_name(cls) << ".wait_ms_" << name << ":"
+           << std::lround(1000 * waits.At(p)) << "|g\n";
+    }
+  }
+}
+
 }  // namespace
 
 std::string PlannerPath(const Config& config, int planner) {
@@ -97,8 +122,8 @@
     if (succession_) succession_->TellId(id);
   };
   hooks.log = [](const std::string& line) { LogLine(Level::kWarn) << "planner: " << line; };
-  planner_ =
-      std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks, &counters_);
+  planner_ = std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks,
+                                       &counters_, config_.scheduling);
   planner_->NameClasses(config_.classes, config_.live);
   if (forwarder_) {
     const std::uint64_t number = planner_->AddForwarder(forwarder_.get(), true);
@@ -258,7 +283,10 @@
   const Config before = std::exchange(config_, std::move(fresh));
   LogLevel() = LevelOf(config_.log_level);
   LogLine(Level::kInfo) << "configuration read again";
-  if (planner_) planner_->Configure(config_.settings, config_.classes, config_.live, changes.begun);
+  if (planner_) {
+    planner_->Configure(config_.scheduling);
+    planner_->Configure(config_.settings, config_.classes, config_.live, changes.begun);
+  }
   if (front_) {
     http::Names names = NamesNow();
     for (std::size_t c = 0; c < before.classes.size(); ++c) {
@@ -354,6 +382,7 @@
         << "app.members:" << members << "|g\n"
         << "app.members_unavailable:" << avoided << "|g\n";
   }
+  if (planner_ && planner_->desk().on()) PrintScheduling(*planner_, &out);
   out << "app.config_reloads:" << counters_.reloads << "|c\n"
       << "app.config_reload_errors:" << counters_.reload_errors << "|c\n";
   return out.str();
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -1,19 +1,18 @@
 // Attempts and final answers.
 #include <algorithm>
+#include <utility>
 
 #include "brain.h"
 
 namespace decksail {
-namespace {
 
-constexpr double kLimitStep = 0.1;  // a threshold's rise after a good send at the threshold
-constexpr double kSilentS =
-    0.25;  // without a word since a send: the worker is asked whether it lives
+constexpr double kLimitStep = 0.1;   // a threshold's rise after a good send at the threshold
+constexpr double kSilentS = 0.25;    // no word since a send: the worker is asked whether it lives
 constexpr double kOverdue = 4.0;     // an attempt this many times its expected time is overdue
+constexpr double kLastWordS = 0.15;  // before its time is over, one that waits is refused
+constexpr int kOnHold = -2;          // a watch on the wait, not on an attempt
 constexpr double kDropsKept = 10.0;  // starts that earn the right to call off as much hopeless work
 
-}  // namespace
-
 // Sends the job somewhere it may go; false if there is no such place now.
 bool Brain::Place(Job& job) {
   if (job.attempts.size() >= Idx(job.most_tries) || job.expires_at <= now_) return false;
@@ -29,8 +28,18 @@
       if (anchor < 0) anchor = a.worker;
     }
   }
+  // A keyed job that may have run has few places left: it queues there. All others wait for room.
+  const bool waits = room_keeper_ && anchor < 0 && !job.AnyOpen() && !Pool(c.kind, -1).empty();
+  if (waits && job.found < 0) {
+    const RoomKeeper::Place place = room_keeper_->Somewhere(job.id);
+    job.impossible = place.never;
+    if (place.never) return false;
+    if (place.worker.empty()) return PutOnHold(job);
+    job.found = index_.find(place.worker)->second;
+  }
   const int index = Pick(job, anchor);
-  if (index < 0) return false;
+  job.found = -1;
+  if (index < 0) return waits && PutOnHold(job);
   Worker& w = workers_[Idx(index)];
   if (Cold(w)) {
     w.cold_tokens = std::min(1.0, ColdHeld(w) - ColdCost(job));
@@ -43,7 +52,6 @@
   job.attempts.push_back({.worker = index, .sent_at = now_, .out_before = w.out, .roomy = !over});
   w.out += job.slots;
   w.memory_out += job.memory;
-  out_total_ += job.slots;
   w.sent_since += job.slots;
   if (told && time > AimOf(job)) Blocked(job, job.attempts.back(), false, true);
   sends_ += job.attempts.size() == 1;
@@ -57,19 +65,49 @@
   return true;
 }
 
-void Brain::WatchAt(double at, const std::string& id, int attempt) {
-  watch_.push({at, ++order_, id, attempt});
-  if (!watching_) actions_->push_back(SetTimer{kWatchMark, kWatchS / 4});
-  watching_ = true;
+// To wait for room is not to give up; it ends with the job's time.
+bool Brain::PutOnHold(Job& job) {
+  job.on_hold = true;
+  actions_->push_back(Hold{job.id});
+  if (!job.hold_watched) {
+    const double last = job.expires_at - kLastWordS;
+    WatchAt(std::min(now_ + ClassOf(job.cls).aim_s, last), job.id, kOnHold);
+  }
+  job.hold_watched = true;
+  return false;
+}
+
+void Brain::On(const RoomFound& e) {
+  const auto it = jobs_.find(e.id);
+  if (it == jobs_.end() || !it->second.on_hold) return;
+  it->second.on_hold = false;
+  if (!e.worker.empty()) {
+    it->second.found = index_.find(e.worker)->second;
+    Place(it->second);
+  }
+  Settle(it->second);
+}
+
+// One that waits past its aim says of the fleet what a late start at a worker says.
+void Brain::Waited(const Watch& watch) {
+  const auto it = jobs_.find(watch.id);
+  if (it == jobs_.end()) return;
+  Job& job = it->second;
+  const double last = job.expires_at - kLastWordS;
+  if (now_ >= last && std::exchange(job.on_hold, false)) return Settle(job);
+  lates_ += job.on_hold && !job.late;
+  job.late |= job.on_hold;
+  if (now_ < last) WatchAt(last, watch.id, kOnHold);
 }
 
 // Ends a job that has no attempt under way, with the answer that its class allows.
 void Brain::Settle(Job& job) {
-  if (job.AnyOpen()) return;
+  if (job.AnyOpen() || job.on_hold) return;
   if (!job.ended) {
     const ClassSettings& c = ClassOf(job.cls);
     const bool repeats_dropped = c.semantics == Semantics::kByKey && c.group == Group::kAll;
-    if (!job.MayHaveRun() || c.semantics == Semantics::kRepeatable || repeats_dropped) {
+    if (!job.impossible &&
+        (!job.MayHaveRun() || c.semantics == Semantics::kRepeatable || repeats_dropped)) {
       Decline(job);
     } else {
       actions_->push_back(Fail{job.id});
@@ -78,13 +116,6 @@
   jobs_.erase(jobs_.find(job.id));
 }
 
-Attempt* Brain::Find(std::string_view id, int attempt, Job** job) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || Idx(attempt) >= it->second.attempts.size()) return nullptr;
-  *job = &it->second;
-  return &it->second.attempts[Idx(attempt)];
-}
-
 void Brain::On(const AttemptEnded& e) {
   Job* job = nullptr;
   Attempt* a = Find(e.id, e.attempt, &job);
@@ -93,7 +124,6 @@
   a->open = false;
   w.out = std::max(0.0, w.out - job->slots);
   w.memory_out = std::max(0.0, w.memory_out - job->memory);
-  out_total_ = std::max(0.0, out_total_ - job->slots);
   if (e.has_report) TakeReport(w, e.report);
   const bool never_ran = e.verdict == Verdict::kTurnedAway || e.verdict == Verdict::kNoConnection ||
                          e.verdict == Verdict::kNotSent;
@@ -118,18 +148,14 @@
       break;
     case Verdict::kServerError:
       w.heard_at = now_;
-      w.errors = w.errors * 0.8 + 0.2;
-      if (w.errors > 0.45 || w.probation) Eject(a->worker);
-      break;
+      [[fallthrough]];
     case Verdict::kConnectionLost:  // one may be chance; a worker that is gone refuses the next
-      w.errors = w.errors * 0.8 + 0.3;
+      w.errors = w.errors * 0.8 + (e.verdict == Verdict::kServerError ? 0.2 : 0.3);
       if (w.errors > 0.45 || w.probation) Eject(a->worker);
       break;
     case Verdict::kNoConnection:
-      Eject(a->worker);
-      break;
     case Verdict::kNoAnswer:
-      if (w.heard_at < a->sent_at) Eject(a->worker);
+      if (e.verdict == Verdict::kNoConnection || w.heard_at < a->sent_at) Eject(a->worker);
       break;
     default:  // called off, not sent: nothing is learned
       break;
@@ -143,26 +169,16 @@
   Settle(*job);
 }
 
-void Brain::CancelOpen(const Job& job, bool only_waiting) {
-  for (std::size_t i = 0; s_.cancel && i < job.attempts.size(); ++i) {
-    const Attempt& a = job.attempts[i];
-    if (!a.open || (only_waiting && a.started_at >= 0)) continue;
-    actions_->push_back(CancelAttempt{job.id, static_cast<int>(i)});
-  }
-}
-
 void Brain::On(const JobGone& e) {
   const auto it = jobs_.find(e.id);
   if (it == jobs_.end()) return;
   std::erase(asking_, e.id);
   it->second.ended = true;
+  it->second.on_hold = false;
   CancelOpen(it->second, false);
   Settle(it->second);
 }
 
-void Brain::On(const StreamBegan& e) { Begun(e.id, e.attempt); }
-void Brain::On(const AttemptNote& e) { Begun(e.id, e.attempt); }
-
 void Brain::Begun(std::string_view id, int attempt) {  // word from the worker that it runs
   Job* job = nullptr;
   Attempt* a = Find(id, attempt, &job);
@@ -208,6 +224,7 @@
 
 // An attempt has not started, or not ended, when it should have.
 void Brain::Overdue(const Watch& watch) {
+  if (watch.attempt == kOnHold) return Waited(watch);
   if (watch.attempt < 0) return Answered(watch.id);
   Job* job = nullptr;
   Attempt* a = Find(watch.id, watch.attempt, &job);
--- a/src/policy/discovery.cpp
+++ b/src/policy/discovery.cpp
@@ -5,25 +5,18 @@
 #include "brain.h"
 
 namespace decksail {
-namespace {
 
 constexpr double kPeerPoints = 0.003;  // of the result may go into messages
 constexpr double kGroupFade = 0.05;    // what went badly is forgiven with each report interval
 
-}  // namespace
-
 Brain::Brain(const Settings& settings, std::uint64_t seed)
     : s_(settings), random_(seed), pools_(s_.kinds, s_.zones) {
-  classes_ = static_cast<int>(s_.classes.size());
-  if (s_.tenants.empty()) s_.tenants.push_back({.share = 1});
-  tenants_ = static_cast<int>(s_.tenants.size());
-  buckets_.resize(Idx(classes_ * tenants_));
+  Fit();
   direct_ = s_.dispatchers - 1 <= kDirectPeers;
   interval_ = kReportS * std::max(1.0, std::cbrt(s_.dispatchers / 4.0));
   own_.assign(Idx(tenants_) + 3, 0.0);
   mean_ = own_;
   peers_.rows.resize(direct_ && s_.peers ? Idx(s_.dispatchers) : 0);
-  run_.resize(s_.classes.size());
   blind_ = s_.tells_start && s_.report_source == ReportSource::kOff;
   copies_ = blind_ ? kCopies : 0.0;
   sheds_ = s_.cancel && (s_.tells_start ? blind_ : s_.report_source == ReportSource::kOnProbe);
@@ -90,11 +83,7 @@
   for (const Member& m : *e.members) {
     auto [it, fresh] = index_.try_emplace(m.worker, static_cast<int>(workers_.size()));
     if (fresh) {
-      Worker w;
-      w.name = m.worker;
-      w.hash = HashText(m.worker);
-      w.limit = mean_limit_;
-      workers_.push_back(std::move(w));
+      workers_.push_back({.name = m.worker, .hash = HashText(m.worker), .limit = mean_limit_});
       listed.push_back(1);
     }
     listed[Idx(it->second)] = 1;
@@ -111,10 +100,7 @@
 
 void Brain::On(const SettingsChanged& e) {
   s_ = *e.settings;
-  classes_ = static_cast<int>(s_.classes.size());
-  if (s_.tenants.empty()) s_.tenants.push_back({.share = 1});
-  buckets_.resize(Idx(classes_ * tenants_));
-  run_.resize(s_.classes.size());
+  Fit();
   for (const int c : *e.begun) {
     run_[Idx(c)] = {};
     std::fill_n(buckets_.begin() + c * tenants_, tenants_, Bucket{});
--- a/src/policy/fleet_rate.cpp
+++ b/src/policy/fleet_rate.cpp
@@ -5,7 +5,6 @@
 #include "brain.h"
 
 namespace decksail {
-namespace {
 
 constexpr double kFullShare = 0.05;  // more jobs than this that found workers full: a cut
 constexpr double kProof = 8;         // jobs of an interval that a share of them must stand against
@@ -17,8 +16,6 @@
 constexpr double kLateDepth = 0.5;
 constexpr double kSlack = 1.25;  // a rate this far above demand binds nobody
 
-}  // namespace
-
 void Brain::Control(double span) {
   // What live dispatchers report in all, those not yet heard taken as the average one.
   const std::vector<double> fleet =
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -6,7 +6,6 @@
 #include "brain.h"
 
 namespace decksail {
-namespace {
 
 constexpr double kMostReport = 1e6;  // a larger figure in a report is none
 constexpr double kWaitTrustS = 1.0;  // an observed wait for a start says little after this
@@ -14,8 +13,6 @@
 constexpr double kEjectShare = 0.7;  // never more of the fleet than this: a lost zone of two fits
 constexpr double kColdPart = 0.5;    // of what the guarantee allows to a cold worker
 
-}  // namespace
-
 bool Brain::Cold(const Worker& w) const { return w.born > 0 && now_ - w.born < s_.cold_s; }
 
 // This dispatcher's part of what a cold worker may get: what it sends a warm worker on average,
@@ -68,6 +65,7 @@
     if (!(v >= 0 && v < kMostReport)) return;
   }
   w.TakeReport(now_, s_.report_columns, report);
+  ++version_;
   // A kind holds what two workers agree on: one that is wrong must not make it bottomless.
   double& slots = kind_slots_[Idx(w.kind)];
   auto& [most, who] = kind_most_[Idx(w.kind)];
@@ -109,7 +107,7 @@
   Worker& w = workers_[Idx(a.worker)];
   if (!a.blocked) w.limit = std::max(1.0, (w.limit + a.out_before) / 2);
   a.blocked = true;
-  const double slots = kind_slots_[Idx(w.kind)];
+  const double slots = SlotsOf(w);
   const bool holds = slots == 0 || job.slots <= slots;
   if (!w.ready || w.probation || Cold(w) || !holds) return;
   if (full && ++job.fulls <= 2) fulls_ += blind_ ? job.fulls - 1 : 0.5;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -5,10 +5,8 @@
 #include "brain.h"
 
 namespace decksail {
-namespace {
 
-constexpr int kSample =
-    12;  // random workers looked at: a small fleet whole, a large one at no cost
+constexpr int kSample = 12;                   // random workers looked at: a small fleet whole
 constexpr int kProbes = 5, kProbesStale = 2;  // workers asked for a job; where reports prove old
 // Where probes have a price, so many points of the result may go into them: reports of a few jobs
 // tell what a kind can hold, and what is out there peers tell for less.
@@ -19,24 +17,6 @@
 constexpr double kOver = 10.0;        // past the threshold counts more than any pace or price
 constexpr double kSpeedKeep = 8.0;    // a worker's own pace outweighs its kind's after so many jobs
 
-}  // namespace
-
-void Brain::RemakePools() {  // only when the list or an ejection changes
-  pools_.Remake(workers_);
-  ready_ = ejected_ = 0;
-  most_power_ = 1e-9;
-  double limits = 0;
-  for (const Worker& w : workers_) {
-    if (!w.ready) continue;
-    ready_ += 1;
-    ejected_ += w.ejected;
-    limits += w.limit;
-    most_power_ = std::max(most_power_, Power(w));
-  }
-  if (ready_ > 0) mean_limit_ = limits / ready_;
-  ++pool_version_;
-}
-
 double Brain::ExpectedRun(const Job& job) const {
   if (job.hint > 0) return job.hint * hint_scale_.Or(1.0);
   return run_[Idx(job.cls)].Or(ClassOf(job.cls).aim_s);
@@ -57,7 +37,8 @@
   const Worker& w = workers_[Idx(index)];
   if (!w.ready) return false;
   if (w.probation && (w.out > 0 || ClassOf(job.cls).semantics == Semantics::kOnce)) return false;
-  if (job.Tried(index)) return false;
+  // Where jobs wait for room, one may come back to a worker that turned it away.
+  if (job.Tried(index, room_keeper_ != nullptr)) return false;
   if (anchor >= 0 && !SameGroup(ClassOf(job.cls).group, workers_[Idx(anchor)], w)) return false;
   return !Cold(w) || (!mate_.leaving && ColdHeld(w) >= ColdCost(job));
 }
@@ -67,7 +48,7 @@
   const double run = ExpectedRun(job) * PaceOf(w);
   double wait = WaitOf(w);
   const bool silent = w.probed_at > w.heard_at && now_ - w.probed_at > kProbeWaitS / 2;
-  const double slots = kind_slots_[Idx(w.kind)];
+  const double slots = SlotsOf(w);
   bool over = silent;
   if (slots > 0) {  // what all dispatchers have out there, against what its kind can hold
     double need = w.out + w.others + job.slots;
@@ -83,7 +64,7 @@
     if (w.memory != kInf) room = std::min(room, w.memory - job.memory + job.slots);
     if (room < job.slots - 0.5) {
       over = true;
-      wait += run * (job.slots - room + w.queued) / std::max(1.0, kind_slots_[Idx(w.kind)]);
+      wait += run * (job.slots - room + w.queued) / std::max(1.0, slots);
     }
   }
   return {run + wait, over};
@@ -109,7 +90,7 @@
   return w;
 }
 double Brain::Power(const Worker& w) const {
-  return s_.sizes_told ? w.capacity : std::max(1.0, kind_slots_[Idx(w.kind)]) / PaceOf(w);
+  return s_.sizes_told ? w.capacity : std::max(1.0, SlotsOf(w)) / PaceOf(w);
 }
 
 // Exception: where load is told only on probes, a job waits a moment for a few workers' word.
@@ -145,6 +126,7 @@
   int looked = 0;
   const auto look = [&](int w, int rank) {
     if (!Allowed(job, w, anchor)) return;
+    if (room_keeper_ && anchor < 0 && !room_keeper_->Takes(job.id, workers_[Idx(w)].name)) return;
     ++looked;
     const double score = Score(job, workers_[Idx(w)], rank);
     if (score < best_score) {
@@ -152,6 +134,7 @@
       best_score = score;
     }
   };
+  if (job.found >= 0) look(job.found, kNoHome);
   for (const int w : job.asked) look(w, kNoHome);
   if (job.key != 0 && !all.empty()) {
     const std::vector<int>& homes = HomesOf(job.key, kind);
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -5,7 +5,6 @@
 #include "brain.h"
 
 namespace decksail {
-namespace {
 
 // Depth absorbs chance: a Poisson stream strays by the root of its count.
 constexpr double kDepthS = 0.5;      // steady part of a bucket's depth, in seconds of its rate
@@ -17,8 +16,6 @@
 constexpr double kFollow = 0.3;      // of the way to peers' rates in a report interval
 constexpr double kCarriedS = 20.0;   // what workers carried in good times is remembered this long
 
-}  // namespace
-
 void Brain::On(const JobArrived& e) {
   if (e.cls < 0 || e.cls >= classes_ || jobs_.contains(e.id)) return;
   Job job = JobOf(e, tenants_);
@@ -65,17 +62,6 @@
   actions_->push_back(Refuse{job.id, s_.retry_after ? wait : 0.0});
 }
 
-// `counts` is empty where the counts have gone out already. Peers hear of both our processes.
-std::string Brain::Message(bool fresh, std::vector<UsageReport::Usage> counts, bool to_mate) const {
-  std::vector<std::pair<std::uint16_t, int>> out;
-  for (const Worker& w : workers_) {
-    const double slots = w.out + (to_mate ? 0.0 : w.mate);
-    if (slots > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
-  }
-  return EncodeReport({fresh, rate_ == kInf ? 0.0 : rate_, direct_ ? own_ : mean_, std::move(out),
-                       std::move(counts)});
-}
-
 // Sends the counts to peers, resets them, and reckons quotas anew.
 void Brain::Report() {
   const double span = std::max(now_ - reported_at_, interval_ / 2);  // one early job is no rush
--- /dev/null
+++ b/src/scheduling/desk.h
@@ -0,0 +1,97 @@
+// Stands between whoever carries out decisions (the node's planner, the adapter) and the decision
+// module, and plays the scheduler's part in them: the module is asked with the room that is left
+// to a job, and jobs that it puts on hold wait here until the scheduler finds room.
+//
+// With scheduling off every event and action passes through unchanged.
+#ifndef MILLETHOLLOW_SCHEDULING_DESK_H_
+#define MILLETHOLLOW_SCHEDULING_DESK_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "decksail/balancer.h"
+#include "scheduling/capacity.h"
+#include "scheduling/scheduler.h"
+
+namespace millethollow::scheduling {
+
+class Desk final : private decksail::RoomKeeper {
+ public:
+  Desk(const decksail::Settings& settings, std::uint64_t seed, const Options& options);
+
+  void Handle(double now_s, const decksail::Event& event, decksail::Actions* actions);
+  bool Avoids(std::string_view worker) const { return balancer_.Avoids(worker); }
+  std::string Learned() const { return balancer_.Learned(); }
+  bool Learn(std::string_view text, const std::vector<int>& classes) {
+    return balancer_.Learn(text, classes);
+  }
+
+  bool on() const { return options_.on; }
+  // Bounds change at once and hold for jobs that wait already; whether it is on at all does not.
+  void Configure(const Options& options);
+  // Which classes `hold_classes` means.
+  void NameClasses(std::vector<std::string> names);
+  const Scheduler& scheduler() const { return scheduler_; }
+
+ private:
+  struct Attempt {
+    std::size_t worker = 0;
+    double sent_at = 0, began_at = -1;
+    bool open = true;
+  };
+  struct Known {
+    Job job;
+    std::vector<Attempt> attempts;
+    bool ended = false;
+  };
+  struct TextHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>()(s); }
+  };
+  using Jobs = std::unordered_map<std::string, Known, TextHash, std::equal_to<>>;
+
+  Place Somewhere(std::string_view job) override;
+  bool Takes(std::string_view job, std::string_view worker) override;
+  double Held(std::string_view worker) const override;
+
+  void Note(const decksail::Event& event);
+  void Arrived(const decksail::JobArrived& e);
+  void Ended(const decksail::AttemptEnded& e);
+  void Ask(const decksail::Event& event, decksail::Actions* actions);
+  void Finish(Jobs::iterator it);
+  void Drop(Jobs::iterator it);
+  void Sync();
+  void Reported(int worker, const double (&report)[4]);
+  int WorkerOf(std::string_view name) const;
+  bool MayHold(int cls) const;
+
+  Options options_;
+  decksail::Settings settings_;
+  decksail::Balancer balancer_;
+  Scheduler scheduler_;
+  double now_ = 0;
+  std::uint64_t seen_version_ = 0, last_handle_ = 0;
+  // By the module's order.
+  struct Worker {
+    std::string name;
+    int kind = 0;
+    double others = 0, others_before = 0, others_at = 0;  // by peers: now, and a while ago
+  };
+  std::vector<Worker> workers_;
+  Capacity capacity_;
+  std::unordered_map<std::string, int, TextHash, std::equal_to<>> index_;
+  Jobs jobs_;
+  std::unordered_map<scheduling::Handle, std::string> ids_;
+  std::deque<std::string> no_room_;  // found the waiting room full
+  std::vector<std::string> class_names_;
+  bool ticking_ = false;
+};
+
+}  // namespace millethollow::scheduling
+
+#endif  // MILLETHOLLOW_SCHEDULING_DESK_H_
--- /dev/null
+++ b/src/scheduling/scheduler.h
@@ -0,0 +1,187 @@
+// Which waiting job may start now, and where room is held for one that can't yet.
+//
+// Waiting jobs are kept in a bounded room. Whatever fits starts at once. A job of a class that may
+// hold room, and that fits nowhere now, gets a reservation: the worker that is expected to have
+// room for it first. Other jobs are still started there (backfill) if they are expected to end by
+// then, or leave enough beside them, as EASY backfill has it (Lifka 1995; Mu'alem and Feitelson
+// 2001), with one reservation a worker. Room that is free for a job anywhere else is always taken,
+// so a reservation never makes its job wait.
+//
+// No I/O, no clock, no wire: times are seconds on the caller's clock, which never runs backwards.
+// Which server of those that have room a job goes to is the decision module's (policy/).
+#ifndef MILLETHOLLOW_SCHEDULING_SCHEDULER_H_
+#define MILLETHOLLOW_SCHEDULING_SCHEDULER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "scheduling/estimates.h"
+#include "scheduling/options.h"
+#include "scheduling/room_index.h"
+
+namespace millethollow::scheduling {
+
+using Handle = std::uint64_t;  // of a job; 0: none. A job that came later has a larger one.
+
+struct Job {
+  Handle handle = 0;
+  int cls = 0, tenant = 0, kind = -1;  // kind of worker that runs it, -1: any
+  Need need;
+  double bytes = 0, hint_s = 0;
+  double arrived_at = 0;
+  double start_by = 0;  // to be in time; later ones come after those that still can be
+  bool may_hold = false;
+};
+
+// What is known of a worker from outside.
+struct WorkerFacts {
+  int kind = 0;
+  bool usable = false;  // may be sent to: listed, not drained, out by hand or ejected
+  bool cold = false;    // too fresh to hold room at: its own budget bounds what it gets
+  Need capacity{0, 0};  // no slots: not known, then it counts as bottomless
+  bool told = false;    // the capacity is told, not learned
+  double others = 0;    // slots taken there by jobs that are not ours
+  bool operator==(const WorkerFacts&) const = default;
+};
+
+struct Figures {
+  std::size_t waiting = 0, reservations = 0;
+  double held_slots = 0;
+  std::uint64_t waited = 0;       // jobs that had to wait and then started
+  std::uint64_t backfilled = 0;   // started where room was held for another
+  std::uint64_t broken_off = 0;   // reservations that ended without their job's start there
+  std::uint64_t turned_away = 0;  // found the waiting room full
+};
+
+class Scheduler {
+ public:
+  Scheduler(const Options& options, std::uint64_t seed) : options_(options), seed_(seed) {}
+
+  void Configure(const Options& options);
+  void SetTenants(std::vector<double> shares) { shares_ = std::move(shares); }
+  // This node's part of all room that may be held, by what peers tell: 0 to 1.
+  void SetPart(double part) { part_ = part; }
+  Estimates& estimates() { return estimates_; }
+
+  // Workers keep the number that they first got.
+  void SetWorker(std::size_t worker, const WorkerFacts& facts);
+
+  // A job that does not wait yet may start at that worker now, as far as room goes.
+  bool MayStart(const Job& job, std::size_t worker, double now) const;
+  // Some worker where it may start, -1: none now.
+  int Somewhere(const Job& job, double now) const;
+  // No worker that is listed could ever hold it, by what they told.
+  bool FitsNowhere(const Job& job) const;
+
+  // Puts it into the waiting room; false, and nothing kept, if that is full.
+  bool Wait(const Job& job, double now);
+  bool Waits(Handle job) const { return waiting_.contains(job); }
+  // It could not be sent after all (its cold budget is used up, say): looked at again a moment on.
+  void Rest(Handle job, double now);
+  void Leave(Handle job, double now);  // it waits no longer
+  void Started(const Job& job, std::size_t worker, double now);
+  // An attempt there is over; `ran_s` of one that came to its end, else negative.
+  void Ended(Handle job, std::size_t worker, double ran_s);
+  // Own slots that have been taken there since before `since`.
+  double TakenSince(std::size_t worker, double since) const;
+  // The worker had no room although it seemed so: it gets nothing more for a moment.
+  void Full(std::size_t worker, double now);
+
+  struct Start {
+    Handle job = 0;
+    std::size_t worker = 0;
+  };
+  // The next waiting job that may start, with a worker that has room. The caller then reports
+  // Started, Rest or Leave of it.
+  std::optional<Start> Next(double now);
+  // Wanted every so often while jobs wait: holds that lasted too long end, rested jobs return.
+  static constexpr double kTickS = 0.05;
+  bool WantsTick() const { return !waiting_.empty() || !full_.empty(); }
+  void Tick(double now);
+
+  double Held(std::size_t worker) const;  // slots
+  Figures figures() const;
+  std::map<int, std::size_t> WaitingByClass() const { return by_class_; }
+  const std::map<int, Quantiles>& waits() const { return waits_; }  // by class, of those started
+
+ private:
+  struct Run {
+    Handle job;
+    Need need;
+    int cls;
+    double hint_s, since;
+  };
+  struct Worker {
+    WorkerFacts facts;
+    Need used{0, 0};
+    std::vector<Run> runs;
+    Handle held_for = 0;
+    double full_others = 0, full_until = 0;  // turned a job away
+    bool listed = false, dirty = false;
+  };
+  // Jobs alike in class and need: whatever holds for the first of them holds for all.
+  struct Shape {
+    std::set<std::pair<double, Handle>> timely;  // by when they must start
+    std::set<Handle> late;                       // by arrival
+  };
+  using ShapeKey = std::tuple<int, int, int>;  // class, slots, memory in steps
+  struct Waiting {
+    Job job;
+    ShapeKey shape;
+    int held_at = -1;
+    double held_since = 0, no_hold_until = 0;
+    bool resting = false;
+  };
+
+  Need Clamped(const Worker& w, const Need& need) const;
+  Need Others(const Worker& w) const;
+  Need Free(const Worker& w) const;
+  bool KindFits(int kind, const Worker& w) const { return kind < 0 || kind == w.facts.kind; }
+  double Shadow(const Worker& w, const Need& need, double now) const;
+  double EndOf(const Worker& w, const Run& run, double now) const;
+  bool SparesHeld(const Worker& w, const Job& job, const Need& need, double now) const;
+  Handle PickFor(Worker& w, std::size_t number, double now);
+  void Touch(std::size_t worker);  // its room has changed
+  void Enqueue(Waiting* waiting);
+  void Dequeue(Waiting* waiting);
+  void Plan(double now);
+  bool PlanOne(int tenant, double now);
+  void Unhold(Waiting* waiting, bool broken);
+  double HoldCap() const;
+
+  Options options_;
+  std::uint64_t seed_;
+  double part_ = 1;
+  std::vector<double> shares_;
+  Estimates estimates_;
+  std::vector<Worker> workers_;
+  std::map<int, RoomIndex> open_;  // by kind, -1: any; room that is neither taken nor held
+  std::map<int, Need> largest_;    // capacity ever known, by kind and -1 for any
+  double fleet_slots_ = 0;
+  std::unordered_map<Handle, Waiting> waiting_;
+  std::map<ShapeKey, Shape> shapes_;
+  std::map<int, std::set<Handle>> holdable_;  // by tenant: without a reservation, by arrival
+  std::set<int> reserved_;                    // workers that room is held at
+  std::map<int, double> held_;                // slots by tenant
+  double held_total_ = 0, bytes_ = 0;
+  std::map<int, std::size_t> by_class_, by_tenant_;
+  std::deque<std::size_t> dirty_;
+  std::deque<Handle> fresh_;  // to be looked at for themselves
+  std::vector<Handle> resting_;
+  std::vector<std::size_t> full_;  // workers that turned jobs away
+  bool plan_ = false;
+  std::uint64_t turn_ = 0, cursor_ = 0;
+  Figures figures_;
+  std::map<int, Quantiles> waits_;
+};
+
+}  // namespace millethollow::scheduling
+
+#endif  // MILLETHOLLOW_SCHEDULING_SCHEDULER_H_
--- a/src/state.h
+++ b/src/state.h
@@ -23,6 +23,7 @@
   bool listed = false, out_by_hand = false;
   int zone = 0, kind = 0, cell = 0;
   double capacity = 1, born = 0;
+  double told_slots = 0, told_memory = 0;
   double out = 0;     // own slots out
   double memory_out = 0;  // and memory
   double others = 0;  // peers' slots out, as they last told
@@ -49,6 +50,8 @@
     kind = std::clamp(m.kind, 0, kinds - 1);
     cell = m.cell;
     capacity = m.capacity;
+    told_slots = m.slots;
+    told_memory = m.memory;
     born = std::max(m.born_s, back_at);
     listed = m.readiness == Readiness::kReady;
     ready = listed && !out_by_hand;
@@ -88,6 +91,9 @@
   std::vector<int> asked;  // workers probed for it
   int awaited = 0;         // of them yet to answer
   bool ended = false, dropped = false;
+  bool on_hold = false;    // waits for room
+  bool hold_watched = false, impossible = false;
+  int found = -1;          // where it is said to be
   int most_tries = 1;  // as the settings were when it came
   int fulls = 0;      // how often it was turned away
   bool late = false;  // kept from starting until its aim was at stake
@@ -105,8 +111,10 @@
   bool MayHaveRun() const {
     return Any([](const Attempt& a) { return a.may_have_run; });
   }
-  bool Tried(int worker) const {
-    return Any([worker](const Attempt& a) { return a.worker == worker; });
+  bool Tried(int worker, bool unless_turned_away) const {
+    return Any([&](const Attempt& a) {
+      return a.worker == worker && (a.may_have_run || !unless_turned_away);
+    });
   }
 };
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -451,7 +451,8 @@
       reply_ += "DIE scheduler=" + std::to_string(instance) + " line=" + why + "\n";
       return;
     }
-    instances_[instance].balancer = std::make_unique<Balancer>(settings, seed);
+    instances_[instance].balancer = 
+        std::make_unique<millethollow::scheduling::Desk>(settings, seed, options_);
     return Deliver(instance, Started{});
   }
   if (name == "KILLED") {
--- a/src/wire.h
+++ b/src/wire.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "decksail/balancer.h"
+#include "scheduling/desk.h"
 
 namespace decksail::wire {
 
@@ -37,7 +38,8 @@
 // Hosts any number of instances behind the wire. Each instance is a Balancer of its own.
 class Host {
  public:
-  explicit Host(std::ostream* errors) : errors_(errors) {}
+  explicit Host(std::ostream* errors, millethollow::scheduling::Options options = {})
+      : errors_(errors), options_(std::move(options)) {}
 
   // Takes one line of input. Returns false when framing is lost and nothing more can be read.
   bool Line(std::string_view line);
@@ -47,7 +49,7 @@
 
  private:
   struct Instance {
-    std::unique_ptr<Balancer> balancer;
+    std::unique_ptr<millethollow::scheduling::Desk> balancer;
   };
 
   void HandleLine(std::string_view name, std::string_view line);
@@ -63,6 +65,7 @@
   void Write(std::int64_t instance, const Action& action);
 
   std::ostream* errors_;
+  millethollow::scheduling::Options options_;
   bool in_batch_ = false, replied_ = false;
   double now_ = 0;
   std::uint64_t line_number_ = 0;
