--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -252,6 +252,7 @@
   std::string_view worker;
   int kind = 0;
   bool usable = false, cold = false;
+  bool far = false;  // in another zone, where that has a price
   double slots = 0, memory = 0;  // as the list told; 0: not told
   double others = 0;             // slots that other dispatchers have out there, by their last word
   double free = -1;              // by a report that is still good; -1: there is none
--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -74,6 +74,7 @@
                      .kind = w.kind,
                      .usable = w.ready && !w.ejected,
                      .cold = Cold(w),
+                     .far = s_.price_cross_zone > 0 && w.zone != s_.zone,
                      .slots = w.told_slots,
                      .memory = w.told_memory,
                      .others = w.others,
--- a/src/config/scheduling.cpp
+++ b/src/config/scheduling.cpp
@@ -83,6 +83,7 @@
                       {"of_worker", number(&o.hold_of_worker, 0, 1)},
                       {"of_fleet", number(&o.hold_of_fleet, 0, 1)},
                       {"seconds", number(&o.hold_s, 0.01, 3600)}})},
+      {"zone_patience_s", number(&o.zone_patience_s, 0, 60)},
       {"memory_per_slot", number(&o.memory_per_slot, 0, 1e9)},
   };
   if (!ReadKeys(*section, "scheduling", readers, why)) return false;
--- a/src/scheduling/capacity.h
+++ b/src/scheduling/capacity.h
@@ -19,9 +19,15 @@
   static constexpr double kHalfS = 30;   // a report counts half after so long
   static constexpr double kMost = 4096;  // a larger figure is none
 
-  void Told(int kind, double slots, double now) {
+  // `taken`: slots that surely were taken when `free` were told to be free.
+  void Told(int kind, double free, double taken, double now) {
+    const double slots = std::round(free) + taken;
     if (!(slots >= 0.5) || slots > kMost) return;
     Kind& k = kinds_[kind];
+    if (free < 0.5) {  // some of what is out there may wait: a bound, until better is known
+      k.bound = k.bounds++ == 0 ? slots : std::min(k.bound, slots);
+      return;
+    }
     const double keep = std::exp2((k.at - now) / kHalfS);
     for (auto& [value, weight] : k.weights) weight *= keep;
     k.at = now;
@@ -36,15 +42,26 @@
       if (sum >= kUpper * all) return;
     }
   }
-  double Of(int kind) const {  // 0: not known
+  // 0: not known. A kind of which nothing is known yet is taken for like the others.
+  double Of(int kind) const {
     const auto it = kinds_.find(kind);
-    return it == kinds_.end() ? 0 : it->second.slots;
+    if (it != kinds_.end() && it->second.Known() > 0) return it->second.Known();
+    double sum = 0, n = 0;
+    for (const auto& [other, k] : kinds_) {
+      sum += k.Known();
+      n += k.Known() > 0;
+    }
+    return n > 0 ? std::round(sum / n) : 0;
   }
 
  private:
   struct Kind {
-    double slots = 0, at = 0;
+    double slots = 0, at = 0, bound = 0;
+    int bounds = 0;
     std::map<int, double> weights;  // how often each figure came
+    double Known() const {
+      return slots > 0 ? slots : bounds >= kEnough ? std::max(1.0, bound) : 0;
+    }
   };
   std::map<int, Kind> kinds_;
 };
--- a/src/scheduling/desk.cpp
+++ b/src/scheduling/desk.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::uint64_t kTickMark = 1ULL << 40;  // the module's marks are small
-constexpr double kSurelyS = 0.2;    // a report may be so old: what has run for longer is in it
-constexpr double kShort = 0.1;  // who is to start in time: as if it were one of the shorter jobs
+constexpr double kSurelyS = 0.2;  // a report may be so old: what has run for longer is in it
+constexpr double kShort = 0.1;    // who is to start in time: as if it were one of the shorter jobs
 constexpr double kNoMemory = 1e12;  // where memory binds nothing
 
 }  // namespace
@@ -89,6 +89,7 @@
     scheduler_.SetWorker(w, {.kind = v.kind,
                              .usable = v.usable,
                              .cold = v.cold,
+                             .far = v.far,
                              .capacity = {slots, memory},
                              .told = v.slots > 0,
                              .others = others});
@@ -102,12 +103,10 @@
   const Worker& w = workers_[static_cast<std::size_t>(worker)];
   const auto& columns = settings_.report_columns;
   for (std::size_t i = 0; i < columns.size() && i < 4; ++i) {
-    if (columns[i] != decksail::Column::kFreeSlots || !(report[i] >= 0.5)) {
-      continue;  // with none free some of what is out there may wait
-    }
+    if (columns[i] != decksail::Column::kFreeSlots || !(report[i] >= 0)) continue;
     const double taken = scheduler_.TakenSince(static_cast<std::size_t>(worker), now_ - kSurelyS) +
                          std::min(w.others, w.others_before);
-    capacity_.Told(w.kind, std::round(report[i]) + taken, now_);
+    capacity_.Told(w.kind, report[i], taken, now_);
   }
 }
 
@@ -162,7 +161,7 @@
     const std::string id = ids_.at(start->job);
     Ask(decksail::RoomFound{id, workers_[start->worker].name}, actions);
     // Whatever the module made of it, it is not asked the same thing twice in a turn.
-    if (scheduler_.Waits(start->job)) scheduler_.Rest(start->job, now_);
+    if (scheduler_.Waits(start->job)) scheduler_.Shun(start->worker);
     Sync();
   }
   if (!ticking_ && scheduler_.WantsTick()) {
@@ -255,8 +254,8 @@
         const Job& job = it->second.job;
         if (!scheduler_.Wait(job, now_)) {
           no_room_.push_back(hold->id);
-        } else if (scheduler_.Somewhere(job, now_) >= 0) {
-          scheduler_.Rest(job.handle, now_);  // there is room, but something else is in the way
+        } else if (const int w = scheduler_.Somewhere(job, now_); w >= 0) {
+          scheduler_.Shun(static_cast<std::size_t>(w));  // something else is in the way there
         }
       }
     } else if (const auto* refuse = std::get_if<decksail::Refuse>(&action)) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -9,12 +9,12 @@
 
 constexpr double kInf = std::numeric_limits<double>::infinity();
 constexpr Need kBottomless{1e12, 1e12};
-constexpr double kLikely = 0.5;         // a running job's end, for a reservation: as likely as not
-constexpr double kSure = 0.75;          // a backfilled job's: it should not delay who waits
+constexpr double kLikely = 0.5;          // a running job's end, for a reservation: as likely as not
+constexpr double kSure = 0.75;           // a backfilled job's: it should not delay who waits
 constexpr std::uint64_t kLateTurn = 16;  // one start in so many goes to a job that is late already
-constexpr std::size_t kLooks = 32;      // workers compared for a reservation: a small fleet whole
-constexpr double kFullS = 0.2;          // a worker that turned a job away is full for so long
-constexpr int kHinted = 4;              // jobs of a shape that are tried where their hints differ
+constexpr std::size_t kLooks = 32;       // workers compared for a reservation: a small fleet whole
+constexpr double kFullS = 0.2;           // a worker that turned a job away is full for so long
+constexpr int kHinted = 4;               // jobs of a shape that are tried where their hints differ
 
 int SlotSteps(double slots) { return static_cast<int>(std::ceil(slots * 4 - kRounding)); }
 // Even steps up to two units, then of a twentieth: few shapes, and little room lost to rounding.
@@ -58,7 +58,7 @@
 }
 
 Need Scheduler::Free(const Worker& w) const {
-  if (!w.facts.usable) return {-1, -1};
+  if (!w.facts.usable || w.shunned) return {-1, -1};
   if (w.facts.capacity.slots <= 0) return kBottomless;
   return w.facts.capacity - Others(w) - w.used;
 }
@@ -68,9 +68,13 @@
   Worker& w = workers_[worker];
   if (w.listed && w.facts == facts) return;
   const auto counted = [](const WorkerFacts& f) { return f.usable ? f.capacity.slots : 0.0; };
-  fleet_slots_ += counted(facts) - (w.listed ? counted(w.facts) : 0.0);
+  const double change = counted(facts) - (w.listed ? counted(w.facts) : 0.0);
+  fleet_slots_ += change;
+  if (!facts.far) near_slots_ += change;
   const bool lost = w.listed && w.facts.usable && !facts.usable;
-  if (w.listed && w.facts.kind != facts.kind) open_[w.facts.kind].Set(worker, {-1, -1});
+  if (w.listed && (w.facts.kind != facts.kind || w.facts.far != facts.far)) {
+    for (const int kind : {-1, w.facts.kind}) open_[{kind, w.facts.far}].Set(worker, {-1, -1});
+  }
   w.facts = facts;
   w.listed = true;
   for (const int kind : {-1, facts.kind}) {
@@ -88,7 +92,7 @@
   Worker& w = workers_[worker];
   Need room = Free(w);
   if (w.held_for != 0) room = room - Clamped(w, waiting_.at(w.held_for).job.need);
-  for (const int kind : {-1, w.facts.kind}) open_[kind].Set(worker, room);
+  for (const int kind : {-1, w.facts.kind}) open_[{kind, w.facts.far}].Set(worker, room);
   if (w.dirty || waiting_.empty() || !w.facts.usable) return;
   w.dirty = true;
   dirty_.push_back(worker);
@@ -133,10 +137,29 @@
   return need.Within(then - held);
 }
 
+// To wait a little for a slot nearby costs less than to cross, as long as few wait for it (delay
+// scheduling; Zaharia et al. 2010).
+bool Scheduler::MayCross(const Job& job, double now) const {
+  return now - job.arrived_at >= options_.zone_patience_s || Crowded(waiting_.size());
+}
+
+bool Scheduler::Crowded(std::size_t waiting) const {
+  const double soon = near_slots_ * options_.zone_patience_s / mean_run_s_;
+  return static_cast<double>(waiting) > soon;
+}
+
+void Scheduler::LookFar() {
+  if (near_slots_ >= fleet_slots_) return;
+  for (std::size_t w = 0; w < workers_.size(); ++w) {
+    if (workers_[w].facts.far && Free(workers_[w]).slots > 0) Touch(w);
+  }
+}
+
 bool Scheduler::MayStart(const Job& job, std::size_t worker, double now) const {
   if (worker >= workers_.size()) return false;
   const Worker& w = workers_[worker];
-  if (!w.facts.usable || !KindFits(job.kind, w)) return false;
+  if (!w.facts.usable || w.shunned || !KindFits(job.kind, w)) return false;
+  if (w.facts.far && !MayCross(job, now)) return false;
   const Need need = Clamped(w, job.need);
   if (w.facts.capacity.slots > 0 && !need.Within(Free(w))) return false;
   return w.held_for == 0 || SparesHeld(w, job, need, now);
@@ -148,10 +171,12 @@
       MayStart(job, static_cast<std::size_t>(held->second.held_at), now)) {
     return held->second.held_at;
   }
-  const auto index = open_.find(job.kind);
-  if (index == open_.end()) return -1;
-  const int found = index->second.Find(job.need, Scramble(seed_, job.handle));
-  if (found >= 0) return found;
+  for (const bool far : {false, true}) {
+    const auto index = open_.find({job.kind, far});
+    if (index == open_.end() || (far && !MayCross(job, now))) continue;
+    const int found = index->second.Find(job.need, Scramble(seed_, job.handle));
+    if (found >= 0) return found;
+  }
   std::size_t looked = 0;
   for (const int w : reserved_) {
     if (++looked > kLooks) break;
@@ -221,17 +246,17 @@
   by_class_[job.cls] += 1;
   by_tenant_[job.tenant] += 1;
   Enqueue(&w);
+  if (Crowded(waiting_.size()) && !Crowded(waiting_.size() - 1)) LookFar();
   return true;
 }
 
-void Scheduler::Rest(Handle job, double) {
-  const auto it = waiting_.find(job);
-  if (it == waiting_.end() || it->second.resting) return;
-  Waiting& w = it->second;
-  if (w.held_at >= 0) Unhold(&w, true);  // what kept it from being sent may last
-  w.resting = true;
-  Dequeue(&w);
-  resting_.push_back(job);
+void Scheduler::Shun(std::size_t worker) {
+  if (worker >= workers_.size() || workers_[worker].shunned) return;
+  Worker& w = workers_[worker];
+  w.shunned = true;
+  shunned_.push_back(worker);
+  if (w.held_for != 0) Unhold(&waiting_.at(w.held_for), true);  // what is in the way may last
+  Touch(worker);
 }
 
 void Scheduler::Leave(Handle job, double) {
@@ -240,7 +265,6 @@
   Waiting& w = it->second;
   if (w.held_at >= 0) Unhold(&w, true);
   Dequeue(&w);
-  std::erase(resting_, job);
   bytes_ -= w.job.bytes;
   const auto drop = [](auto* counts, int key) {
     const auto at = counts->find(key);
@@ -274,6 +298,7 @@
   const auto run =
       std::find_if(w.runs.begin(), w.runs.end(), [job](const Run& r) { return r.job == job; });
   if (run == w.runs.end()) return;
+  if (ran_s >= 0) mean_run_s_ += (std::max(ran_s, 1e-4) - mean_run_s_) / 100;
   if (ran_s >= 0) estimates_.Ran(run->cls, w.facts.kind, run->hint_s, ran_s);
   w.used = w.used - run->need;
   w.runs.erase(run);
@@ -346,21 +371,13 @@
     w.dirty = false;
     dirty_.pop_front();
   }
-  while (!fresh_.empty()) {
-    const auto it = waiting_.find(fresh_.front());
-    const int where = it == waiting_.end() ? -1 : Somewhere(it->second.job, now);
-    fresh_.pop_front();
-    if (where >= 0) return Start{it->first, static_cast<std::size_t>(where)};
-  }
   return std::nullopt;
 }
 
 void Scheduler::Tick(double now) {
-  for (const Handle job : std::exchange(resting_, {})) {
-    Waiting& w = waiting_.at(job);
-    w.resting = false;
-    Enqueue(&w);
-    fresh_.push_back(job);
+  for (const std::size_t worker : std::exchange(shunned_, {})) {
+    workers_[worker].shunned = false;
+    Touch(worker);
   }
   for (const std::size_t worker : std::exchange(full_, {})) {
     Worker& w = workers_[worker];
@@ -371,6 +388,7 @@
     w.full_others = 0;
     Touch(worker);
   }
+  LookFar();  // some may have waited long enough to cross
   std::vector<Handle> over;
   for (const int worker : reserved_) {
     const Handle job = workers_[static_cast<std::size_t>(worker)].held_for;
@@ -400,7 +418,7 @@
     held_.clear();
   }
   figures_.broken_off += broken;
-  if (!waiting->resting) holdable_[waiting->job.tenant].insert(waiting->job.handle);
+  holdable_[waiting->job.tenant].insert(waiting->job.handle);
   plan_ = true;
   Touch(number);
 }
@@ -450,7 +468,8 @@
     for (std::size_t i = 0, looked = 0; i < std::min(n, 4 * kLooks) && looked < kLooks; ++i) {
       const std::size_t number = n <= kLooks ? i : (cursor_ + i) % n;
       const Worker& w = workers_[number];
-      if (!w.facts.usable || w.facts.cold || w.held_for != 0 || w.facts.capacity.slots <= 0) {
+      if (!w.facts.usable || w.shunned || w.facts.cold || w.held_for != 0 ||
+          w.facts.capacity.slots <= 0) {
         continue;
       }
       if (!KindFits(waiting.job.kind, w)) continue;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -45,6 +45,7 @@
   int kind = 0;
   bool usable = false;  // may be sent to: listed, not drained, out by hand or ejected
   bool cold = false;    // too fresh to hold room at: its own budget bounds what it gets
+  bool far = false;     // in another zone: only for who has waited, or while many wait
   Need capacity{0, 0};  // no slots: not known, then it counts as bottomless
   bool told = false;    // the capacity is told, not learned
   double others = 0;    // slots taken there by jobs that are not ours
@@ -83,8 +84,9 @@
   // Puts it into the waiting room; false, and nothing kept, if that is full.
   bool Wait(const Job& job, double now);
   bool Waits(Handle job) const { return waiting_.contains(job); }
-  // It could not be sent after all (its cold budget is used up, say): looked at again a moment on.
-  void Rest(Handle job, double now);
+  // Nothing could be sent there after all (its cold budget is used up, say): until the next tick no
+  // room is seen there.
+  void Shun(std::size_t worker);
   void Leave(Handle job, double now);  // it waits no longer
   void Started(const Job& job, std::size_t worker, double now);
   // An attempt there is over; `ran_s` of one that came to its end, else negative.
@@ -99,11 +101,11 @@
     std::size_t worker = 0;
   };
   // The next waiting job that may start, with a worker that has room. The caller then reports
-  // Started, Rest or Leave of it.
+  // Started or Leave of it, or has the worker shunned.
   std::optional<Start> Next(double now);
-  // Wanted every so often while jobs wait: holds that lasted too long end, rested jobs return.
+  // Wanted every so often while jobs wait: holds that lasted too long end, shunned workers return.
   static constexpr double kTickS = 0.05;
-  bool WantsTick() const { return !waiting_.empty() || !full_.empty(); }
+  bool WantsTick() const { return !waiting_.empty() || !full_.empty() || !shunned_.empty(); }
   void Tick(double now);
 
   double Held(std::size_t worker) const;  // slots
@@ -124,7 +126,7 @@
     std::vector<Run> runs;
     Handle held_for = 0;
     double full_others = 0, full_until = 0;  // turned a job away
-    bool listed = false, dirty = false;
+    bool listed = false, dirty = false, shunned = false;
   };
   // Jobs alike in class and need: whatever holds for the first of them holds for all.
   struct Shape {
@@ -137,13 +139,15 @@
     ShapeKey shape;
     int held_at = -1;
     double held_since = 0, no_hold_until = 0;
-    bool resting = false;
   };
 
   Need Clamped(const Worker& w, const Need& need) const;
   Need Others(const Worker& w) const;
   Need Free(const Worker& w) const;
   bool KindFits(int kind, const Worker& w) const { return kind < 0 || kind == w.facts.kind; }
+  bool MayCross(const Job& job, double now) const;
+  bool Crowded(std::size_t waiting) const;
+  void LookFar();
   double Shadow(const Worker& w, const Need& need, double now) const;
   double EndOf(const Worker& w, const Run& run, double now) const;
   bool SparesHeld(const Worker& w, const Job& job, const Need& need, double now) const;
@@ -162,9 +166,10 @@
   std::vector<double> shares_;
   Estimates estimates_;
   std::vector<Worker> workers_;
-  std::map<int, RoomIndex> open_;  // by kind, -1: any; room that is neither taken nor held
-  std::map<int, Need> largest_;    // capacity ever known, by kind and -1 for any
-  double fleet_slots_ = 0;
+  // By kind (-1: any) and whether far: room that is neither taken nor held.
+  std::map<std::pair<int, bool>, RoomIndex> open_;
+  std::map<int, Need> largest_;  // capacity ever known, by kind and -1 for any
+  double fleet_slots_ = 0, near_slots_ = 0, mean_run_s_ = 1;
   std::unordered_map<Handle, Waiting> waiting_;
   std::map<ShapeKey, Shape> shapes_;
   std::map<int, std::set<Handle>> holdable_;  // by tenant: without a reservation, by arrival
@@ -173,9 +178,7 @@
   double held_total_ = 0, bytes_ = 0;
   std::map<int, std::size_t> by_class_, by_tenant_;
   std::deque<std::size_t> dirty_;
-  std::deque<Handle> fresh_;  // to be looked at for themselves
-  std::vector<Handle> resting_;
-  std::vector<std::size_t> full_;  // workers that turned jobs away
+  std::vector<std::size_t> full_, shunned_;  // workers that turned jobs away, or were shunned
   bool plan_ = false;
   std::uint64_t turn_ = 0, cursor_ = 0;
   Figures figures_;
--- a/tests/floor.h
+++ b/tests/floor.h
@@ -52,6 +52,11 @@
       Tell(n, decksail::MembersKnown{decksail::ListKind::kReplace, &members});
     }
   }
+  void Tell(std::size_t node, const decksail::Event& event) {
+    decksail::Actions actions;
+    desks[node]->Handle(now, event, &actions);
+    for (const decksail::Action& action : actions) Do(node, action);
+  }
   void List(int w, decksail::Readiness readiness) {
     const auto i = static_cast<std::size_t>(w);
     members[i].readiness = readiness;
@@ -106,11 +111,6 @@
  private:
   static constexpr double kWire = 0.0005, kPeerWire = 0.01;  // one way, seconds
 
-  void Tell(std::size_t node, const decksail::Event& event) {
-    decksail::Actions actions;
-    desks[node]->Handle(now, event, &actions);
-    for (const decksail::Action& action : actions) Do(node, action);
-  }
   void Do(std::size_t node, const decksail::Action& action) {
     if (const auto* send = std::get_if<decksail::Send>(&action)) {
       Asked& a = asked.at(send->id);
