--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -143,6 +143,12 @@
   return now - job.arrived_at >= options_.zone_patience_s || Crowded(waiting_.size());
 }
 
+// With room in both zones the choice is the module's: it weighs the price of crossing.
+bool Scheduler::RoomNear(const Job& job) const {
+  const auto near = open_.find({job.kind, false});
+  return near != open_.end() && near->second.Find(job.need) >= 0;
+}
+
 bool Scheduler::Crowded(std::size_t waiting) const {
   const double soon = near_slots_ * options_.zone_patience_s / mean_run_s_;
   return static_cast<double>(waiting) > soon;
@@ -159,7 +165,7 @@
   if (worker >= workers_.size()) return false;
   const Worker& w = workers_[worker];
   if (!w.facts.usable || w.shunned || !KindFits(job.kind, w)) return false;
-  if (w.facts.far && !MayCross(job, now)) return false;
+  if (w.facts.far && !MayCross(job, now) && !RoomNear(job)) return false;
   const Need need = Clamped(w, job.need);
   if (w.facts.capacity.slots > 0 && !need.Within(Free(w))) return false;
   return w.held_for == 0 || SparesHeld(w, job, need, now);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -146,6 +146,7 @@
   Need Free(const Worker& w) const;
   bool KindFits(int kind, const Worker& w) const { return kind < 0 || kind == w.facts.kind; }
   bool MayCross(const Job& job, double now) const;
+  bool RoomNear(const Job& job) const;
   bool Crowded(std::size_t waiting) const;
   void LookFar();
   double Shadow(const Worker& w, const Need& need, double now) const;
