--- a/src/scheduling/desk.h
+++ b/src/scheduling/desk.h
@@ -58,7 +58,7 @@
 
   Place Somewhere(std::string_view job) override;
   bool Takes(std::string_view job, std::string_view worker) override;
-  bool Holds(int cls) const override { return MayHold(cls); }
+  bool Holds(int cls) const override { return options_.hold_of_fleet > 0 && MayHold(cls); }
   double Held(std::string_view worker) const override;
 
   void Note(const decksail::Event& event);
