Scheduler: count nearby slots by what they were, no class 0 in the shadow time, no dead argument

Need: read again, three faults: a worker that moved between zones would have been taken from the wrong zone's slots; others' jobs were expected to last as one of class 0; Leave had an argument nothing used. Change: old facts are taken out and new ones put in; others' jobs last as the mean of all; it is gone.

--- a/src/scheduling/desk.cpp
+++ b/src/scheduling/desk.cpp
@@ -275,7 +275,7 @@
 // The job has its final answer, or none is owed. Attempts still out keep their room to their end.
 void Desk::Finish(Jobs::iterator it) {
   it->second.ended = true;
-  scheduler_.Leave(it->second.job.handle, now_);
+  scheduler_.Leave(it->second.job.handle);
   Drop(it);
 }
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -67,10 +67,13 @@
   if (worker >= workers_.size()) workers_.resize(worker + 1);
   Worker& w = workers_[worker];
   if (w.listed && w.facts == facts) return;
-  const auto counted = [](const WorkerFacts& f) { return f.usable ? f.capacity.slots : 0.0; };
-  const double change = counted(facts) - (w.listed ? counted(w.facts) : 0.0);
-  fleet_slots_ += change;
-  if (!facts.far) near_slots_ += change;
+  const auto count = [this](const WorkerFacts& f, double sign) {
+    const double slots = f.usable ? sign * f.capacity.slots : 0;
+    fleet_slots_ += slots;
+    near_slots_ += f.far ? 0 : slots;
+  };
+  if (w.listed) count(w.facts, -1);
+  count(facts, 1);
   const bool lost = w.listed && w.facts.usable && !facts.usable;
   if (w.listed && (w.facts.kind != facts.kind || w.facts.far != facts.far)) {
     for (const int kind : {-1, w.facts.kind}) open_[{kind, w.facts.far}].Set(worker, {-1, -1});
@@ -117,7 +120,7 @@
     if (need.Within(room)) return at;
   }
   if (!need.Within(w.facts.capacity)) return kInf;
-  return last + estimates_.Remaining(0, w.facts.kind, 0, 0, kSure);
+  return last + mean_run_s_;  // of others nothing more is known
 }
 
 // Would the job that room is held for at `w` start as early with this one beside it?
@@ -265,7 +268,7 @@
   Touch(worker);
 }
 
-void Scheduler::Leave(Handle job, double) {
+void Scheduler::Leave(Handle job) {
   const auto it = waiting_.find(job);
   if (it == waiting_.end()) return;
   Waiting& w = it->second;
@@ -288,7 +291,7 @@
     figures_.waited += 1;
     waits_[w.job.cls].Add(now - w.job.arrived_at);
     if (w.held_at == static_cast<int>(worker)) Unhold(&w, false);
-    Leave(job.handle, now);
+    Leave(job.handle);
   }
   if (worker >= workers_.size()) return;
   Worker& w = workers_[worker];
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -87,7 +87,7 @@
   // Nothing could be sent there after all (its cold budget is used up, say): until the next tick no
   // room is seen there.
   void Shun(std::size_t worker);
-  void Leave(Handle job, double now);  // it waits no longer
+  void Leave(Handle job);  // it waits no longer
   void Started(const Job& job, std::size_t worker, double now);
   // An attempt there is over; `ran_s` of one that came to its end, else negative.
   void Ended(Handle job, std::size_t worker, double ran_s);
--- a/tests/scheduling_test.cpp
+++ b/tests/scheduling_test.cpp
@@ -248,7 +248,7 @@
   const Job small = b.Make(kSmall, {1, 1});
   b.now = 0.1;
   EXPECT_EQ(b.Arrive(small), -1);
-  b.scheduler.Leave(large.handle, b.now);
+  b.scheduler.Leave(large.handle);
   EXPECT_EQ(b.RunWhatMay(), std::vector<Handle>{small.handle}) << "in the same turn";
   EXPECT_EQ(b.scheduler.figures().held_slots, 0);
 }
@@ -451,7 +451,7 @@
       }
     } else if (what == 5 && !waiting.empty()) {
       const auto it = std::next(waiting.begin(), below(static_cast<unsigned>(waiting.size())));
-      b.scheduler.Leave(*it, b.now);
+      b.scheduler.Leave(*it);
       waiting.erase(it);
       ++left;
     } else if (what == 6) {
