Discovery calls of a large tier back off until discovery can bear them

With no news of the 45 replaced workers the fleet sent 500 attempts in 2.5 s to processes long gone. Checked: a call answered when discovery is idle takes 78 ms with 76 lines, so it bears about 12 a second; it recovers as soon as fewer are made. Ruled out: 'discovery is down' (it answers at once when left alone), full connection tables (all refusals were of replaced workers). At fault: Discovery::Failed and WatchSoon, whose retries came every 4 to 6 s whatever happened.

Now src/membership/call_pace.h decides: each failure makes the window of a node's calls eight times as long, up to twice the time a list may be left unasked (four times is allowed after a failure), answers narrow it slowly; after a start calls spread over the tier's size. Tiers of up to six nodes are as before.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -29,8 +29,6 @@
 // their calls, and keep away for longer after one that failed.
 constexpr int kCrowd = 6;
 constexpr double kCrowdWaitS = 20;
-constexpr double kSpreadS = 0.03;  // for each node of the tier
-constexpr double kMostSpreadS = 1.5;
 // After a move: what the new address has to tell counts as told this long after it, and until then
 // a call that fails is soon tried again.
 constexpr double kMoveS = 4.0;
@@ -157,6 +155,7 @@
     : loop_(loop),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
+      pace_(options_.nodes, options_.ask_within_s),
       jitter_(options_.seed | 1) {}
 Discovery::~Discovery() {
   loop_->deadlines().Drop(&retry_);
@@ -193,10 +192,9 @@
   return static_cast<double>(jitter_ >> 40) / static_cast<double>(1 << 24);
 }
 
-void Discovery::WatchSoon() {
-  const double most = std::min(kMostSpreadS, kSpreadS * options_.nodes);
+void Discovery::WatchIn(double wait_s) {
   loop_->deadlines().Drop(&retry_);
-  retry_ = loop_->deadlines().At(loop_->Now() + most * Unit(), [this] {
+  retry_ = loop_->deadlines().At(loop_->Now() + wait_s, [this] {
     retry_ = Deadlines::kNone;
     if (watching_ && !stopped_) Ask(false, WaitS());
   });
@@ -210,10 +208,9 @@
     return;
   }
   if (watching_) return;  // the watch is still out: what it has to tell will come
-  if (Crowd() && failures_ > 0 && retry_ != Deadlines::kNone) return;  // not yet
   watching_ = true;
   loop_->deadlines().Drop(&retry_);
-  if (Crowd()) return WatchSoon();
+  if (Crowd()) return WatchIn(pace_.AtStart(Unit()));
   // The first call does not wait: it says what was missed, and that discovery is there.
   Ask(false, 0);
 }
@@ -264,7 +261,7 @@
     // At once, on the same connection: a later call would begin a new watch.
     if (list.version > 0) version_ = list.version;
     if (Crowd()) {
-      WatchSoon();
+      WatchIn(pace_.AfterAnswer(Unit()));
     } else {
       Ask(false, WaitS());
     }
@@ -320,7 +317,9 @@
   if (call == old_.get()) return Drop(call);  // it was to end
   LogLine(Level::kWarn) << "discovery call failed: " << reason;
   Drop(call);
-  if (!whole) {
+  if (!whole && Crowd() && loop_->Now() - moved_at_ >= kMoveS) {
+    WatchIn(pace_.AfterFailure(Unit()));  // whatever the module asks meanwhile, no sooner
+  } else if (!whole) {
     watching_ = false;
     failures_ = std::min(failures_ + 1, 5);
     // The module asks again in its own time; should it not, we do, later each time, and always
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decksail/balancer.h"
+#include "membership/call_pace.h"
 #include "net/loop.h"
 
 namespace millethollow {
@@ -65,7 +66,7 @@
   bool Crowd() const;
   double WaitS() const;
   double Unit();
-  void WatchSoon();
+  void WatchIn(double wait_s);
   void Answered(DiscoveryCall* call, int status, const std::string& body, bool whole);
   void Failed(DiscoveryCall* call, const char* reason, bool whole);
   void Drop(DiscoveryCall* call);
@@ -83,6 +84,7 @@
   double moved_at_ = -1e9;              // on the loop's clock
   std::map<std::string, double> down_;  // told to drain or be gone: their last start
   int failures_ = 0;
+  membership::CallPace pace_;  // of a large tier
   std::uint64_t jitter_ = 0;
   Deadlines::Ticket retry_ = Deadlines::kNone, settle_ = Deadlines::kNone;
 };
