Large tiers ask one worker after the other, learn kinds together, draw cold workers

After a release 76 of 100 jobs go to old workers (util 0.9, 500 turned away in 2.5 s) while the new ones stand idle. At fault: Draw weighed by most_power_, which RemakePools had set before any slot count was known, so it drew evenly; PaceOf and ExpectedRun rest on 27 jobs a node with a spread of twice their mean; Pick takes the same best of twelve at each node; Allowed wants a whole job's tokens of a cold worker, which no node of a hundred earns in its cold time (a large job never, small ones at random at once).

Now, past kDirectPeers only: sums of time and jobs by class and kind go along in the gossiped means; powers are weighed with each report; a job asks one worker, then two more while none has room and what that saves is worth the settings' price; who says it has room is taken, else two are drawn; each job draws one worker and may go there, if that is cold, with a chance by its age and size.

--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -19,20 +19,46 @@
 void Brain::RemakePools() {  // only when the list or an ejection changes
   pools_.Remake(workers_);
   ready_ = ejected_ = 0;
-  most_power_ = 1e-9;
   double limits = 0;
   for (const Worker& w : workers_) {
     if (!w.ready) continue;
     ready_ += 1;
     ejected_ += w.ejected;
     limits += w.limit;
-    most_power_ = std::max(most_power_, Power(w));
   }
   if (ready_ > 0) mean_limit_ = limits / ready_;
+  Weigh();
   ++pool_version_;
   ++version_;
 }
 
+void Brain::Weigh() {  // paces and slots are learned all the time, and what is drawn goes by them
+  most_power_ = 1e-9;
+  double sum = 0;
+  for (const Worker& w : workers_) {
+    if (!w.ready) continue;
+    sum += Power(w);
+    most_power_ = std::max(most_power_, Power(w));
+  }
+  mean_power_ = sum > 0 ? sum / ready_ : 1.0;
+}
+
+// A node of a large tier ends too few jobs to tell kinds and classes apart by itself: it learns
+// from the sums of all, times and jobs each. The most slots that peers agree on are taken as they
+// are.
+void Brain::LearnFromPeers(const std::vector<double>& told) {
+  const auto learn = [&](std::size_t at, Mean& mean) {
+    if (mean_[at + 1] > 0) mean = {mean_[at] / mean_[at + 1], std::max(mean.n, kLoreWeight)};
+  };
+  for (int c = 0; c < lore_classes_; ++c) learn(LoreOf(c, -1), run_[Idx(c)]);
+  for (int k = 0; k < static_cast<int>(kind_pace_.size()); ++k) {
+    const std::size_t at = LoreOf(-1, k);
+    learn(at, kind_pace_[Idx(k)]);
+    kind_slots_[Idx(k)] = std::max(kind_slots_[Idx(k)], told[at + 2]);
+    own_[at + 2] = mean_[at + 2] = kind_slots_[Idx(k)];
+  }
+}
+
 Attempt* Brain::Find(std::string_view id, int attempt, Job** job) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || Idx(attempt) >= it->second.attempts.size()) return nullptr;
--- a/src/brain.h
+++ b/src/brain.h
@@ -64,6 +64,15 @@
   void Control(double span);
   const ClassSettings& ClassOf(int c) const { return s_.classes[Idx(c)]; }
 
+  // What is learned of classes and kinds, in a large tier: time and jobs of each class; pace, jobs
+  // and slots of each kind.
+  std::size_t LoreOf(int cls, int kind) const {
+    const int at = kind < 0 ? 2 * cls : 2 * lore_classes_ + 3 * kind;
+    return Idx(tenants_ + 3 + at);
+  }
+  std::size_t LoreSize() const { return Idx(2 * lore_classes_ + 3 * std::max(1, s_.kinds)); }
+  void LearnFromPeers(const std::vector<double>& told);
+
   // Placement.
   int zones() const { return std::max(1, s_.zones); }
   std::size_t GroupOf(const Worker& w) const { return Idx(w.kind * zones() + w.zone); }
@@ -80,15 +89,18 @@
   double Score(const Job& job, const Worker& w, int home_rank) const;
   int Draw(const std::vector<int>& from);
   double Power(const Worker& w) const;
+  void Weigh();
+  int ProbesFor(const Job& job);
   bool AskAround(Job& job);
   int Pick(const Job& job, int anchor);
   const std::vector<int>& HomesOf(std::uint64_t key, int kind);
 
   // Worker health and cold budget.
   bool Cold(const Worker& w) const;
-  double ColdRate(const Worker& w) const;
+  double ColdPart(const Worker& w) const;
   double ColdHeld(const Worker& w) const;
   double ColdCost(const Job& job) const;
+  void DrawCold(Job& job);
   double& Room(const Worker& w);
   void Eject(int index);
   void LetBack();
@@ -151,14 +163,16 @@
   RoomKeeper* room_keeper_ = nullptr;
   std::uint64_t version_ = 0;  // of all that Views tells
   int ready_ = 0, ejected_ = 0;
-  double mean_limit_ = 1, carried_ = 0, most_power_ = 1;
+  double mean_limit_ = 1, carried_ = 0, most_power_ = 1, mean_power_ = 1;
   std::uint64_t pool_version_ = 0, homes_version_ = 0;
   std::unordered_map<std::uint64_t, std::vector<int>> homes_;
   std::vector<Mean> run_, kind_pace_;
   std::vector<double> kind_slots_;  // what a kind holds: the second most free slots told
   std::vector<std::pair<double, std::ptrdiff_t>> kind_most_;  // the most, and by whom
-  std::vector<double> wait_, room_;     // by kind and zone: wait for a start, share that goes well
-  Mean memory_;                         // of a job, for each of its slots
+  std::vector<double> wait_, room_;  // by kind and zone: wait for a start, share that goes well
+  Mean memory_;                      // of a job, for each of its slots
+  int lore_classes_ = 0;
+  Mean roomy_;                          // workers asked that told of a free slot
   Mean all_run_, hint_scale_, prompt_;  // prompt_: slots told free where a job started at once
   // Jobs.
   TextMap<Job> jobs_;
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -205,7 +205,8 @@
   if (e.has_report) TakeReport(w, e.report);
   for (const std::string& id : std::vector<std::string>(asking_)) {
     Job& job = jobs_.find(id)->second;
-    if (std::count(job.asked.begin(), job.asked.end(), it->second) == 0) continue;
+    const auto now_asked = job.asked.begin() + static_cast<std::ptrdiff_t>(job.round);
+    if (std::count(now_asked, job.asked.end(), it->second) == 0) continue;
     if (--job.awaited == 0) Answered(id);
   }
 }
@@ -213,6 +214,13 @@
 void Brain::Answered(std::string_view id) {  // all asked have answered, or time is up
   if (std::erase(asking_, id) == 0) return;
   Job& job = jobs_.find(id)->second;
+  const auto has_room = [&](int w) {
+    const Worker& worker = workers_[Idx(w)];
+    return now_ - worker.report_at < kReportTrustS && !Outlook(job, worker).second;
+  };
+  if (!direct_ && std::none_of(job.asked.begin(), job.asked.end(), has_room) && AskAround(job)) {
+    return;
+  }
   Place(job);
   Settle(job);
 }
--- a/src/policy/discovery.cpp
+++ b/src/policy/discovery.cpp
@@ -14,7 +14,8 @@
   Fit();
   direct_ = s_.dispatchers - 1 <= kDirectPeers;
   interval_ = kReportS * std::max(1.0, std::cbrt(s_.dispatchers / 4.0));
-  own_.assign(Idx(tenants_) + 3, 0.0);
+  lore_classes_ = direct_ ? 0 : classes_;
+  own_.assign(Idx(tenants_) + 3 + (direct_ ? 0 : LoreSize()), 0.0);
   mean_ = own_;
   peers_.rows.resize(direct_ && s_.peers ? Idx(s_.dispatchers) : 0);
   blind_ = s_.tells_start && s_.report_source == ReportSource::kOff;
@@ -47,6 +48,7 @@
 void Brain::On(const TimerFired& e) {
   if (e.mark == kReportMark) {
     LetBack();
+    if (!direct_) Weigh();
     SumOthers();
     for (double& room : room_) room += (1 - room) * kGroupFade * interval_ / kReportS;
     if (now_ - reported_at_ > interval_ / 4) Report();
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -15,21 +15,34 @@
 
 bool Brain::Cold(const Worker& w) const { return w.born > 0 && now_ - w.born < s_.cold_s; }
 
-// This dispatcher's part of what a cold worker may get: what it sends a warm worker on average,
-// times the share of capacity that is surely there. Rejected work counts too, so every send is
+// A cold worker gets what is sent a warm worker on average, times this: the part of the guarantee
+// by the share of capacity that is surely there. Rejected work counts too, so every send is
 // charged.
-double Brain::ColdRate(const Worker& w) const {
+double Brain::ColdPart(const Worker& w) const {
   const double age = std::clamp((now_ - w.born) / std::max(s_.cold_s, 1e-9), 0.0, 1.0);
-  return kColdPart * s_.fall_multiple * carried_ * (s_.cold_share + (1 - s_.cold_share) * age);
+  return kColdPart * s_.fall_multiple * (s_.cold_share + (1 - s_.cold_share) * age);
 }
 double Brain::ColdHeld(const Worker& w) const {
-  return w.cold_tokens + ColdRate(w) * (now_ - w.cold_at);
+  return w.cold_tokens + ColdPart(w) * carried_ * (now_ - w.cold_at);
 }
 double Brain::ColdCost(const Job& job) const {
   const double run = ExpectedRun(job);
   return std::max(1.0, job.slots) * std::max(0.5, run / all_run_.Or(run));
 }
 
+// In a large tier a node sends a worker less than a job while that is cold: parts of jobs can't
+// add up. So each job draws one worker and may go there, if that is cold, with this chance: in sum
+// it gets its part of all jobs, as much less as it can do less, times the part of the guarantee.
+void Brain::DrawCold(Job& job) {
+  const std::vector<int>& all = Pool(ClassOf(job.cls).kind, -1);
+  job.cold_drawn = -1;
+  if (direct_ || all.empty()) return;
+  const int index = all[random_.Below(all.size())];
+  const Worker& w = workers_[Idx(index)];
+  if (!Cold(w)) return;
+  if (random_.Unit() < ColdPart(w) * Power(w) / mean_power_) job.cold_drawn = index;
+}
+
 // Draws go where jobs find room, by kind and zone. Workers that fail one after the other there
 // are lost: none could find all out one by one. Trials go on as it is forgiven.
 double& Brain::Room(const Worker& w) { return room_[GroupOf(w)]; }
@@ -65,6 +78,7 @@
     if (!(v >= 0 && v < kMostReport)) return;
   }
   w.TakeReport(now_, s_.report_columns, report);
+  roomy_.Add(w.free > 0.5, 30);
   ++version_;
   // A kind holds what two workers agree on: one that is wrong must not make it bottomless.
   double& slots = kind_slots_[Idx(w.kind)];
@@ -95,6 +109,13 @@
   all_run_.Add(took, 400);
   if (job.hint > 0) hint_scale_.Add(took / job.hint, 200);
   kind_pace_[Idx(w.kind)].Add(ratio, 200);
+  if (!direct_) {
+    for (const auto& [at, sum] :
+         {std::pair{LoreOf(job.cls, -1), took}, {LoreOf(-1, w.kind), ratio}}) {
+      own_[at] += sum;
+      own_[at + 1] += 1;
+    }
+  }
   w.pace_n = std::min(w.pace_n * std::exp((w.pace_at - now_) / kPaceTrustS) + 1, 16.0);
   w.pace += (ratio - w.pace) / w.pace_n;
   w.pace_at = now_;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -6,16 +6,21 @@
 
 namespace decksail {
 
-constexpr int kSample = 12;                   // random workers looked at: a small fleet whole
+constexpr int kSample = 12;  // random workers looked at: a small fleet whole
+// In a large tier a node knows too little of them: the best of many would be the same for all, and
+// all would send there. Two drawn by what they can do spread the load as it should be spread.
+constexpr int kSampleLarge = 2;
 constexpr int kProbes = 5, kProbesStale = 2;  // workers asked for a job; where reports prove old
 // Where probes have a price, so many points of the result may go into them: reports of a few jobs
 // tell what a kind can hold, and what is out there peers tell for less.
 constexpr double kProbePoints = 0.0025;
 constexpr double kProbeWaitS = 0.04;  // how long a job waits for them
-constexpr int kHomes = 4;             // workers that a key prefers, the same at every dispatcher
-constexpr int kNoHome = 4 * kHomes;   // the rank of all other workers
-constexpr double kOver = 10.0;        // past the threshold counts more than any pace or price
-constexpr double kSpeedKeep = 8.0;    // a worker's own pace outweighs its kind's after so many jobs
+// Large tiers: half of what is lost where a job has to wait for its start is lost by ending late.
+constexpr double kLateByWait = 0.5;
+constexpr int kHomes = 4;            // workers that a key prefers, the same at every dispatcher
+constexpr int kNoHome = 4 * kHomes;  // the rank of all other workers
+constexpr double kOver = 10.0;       // past the threshold counts more than any pace or price
+constexpr double kSpeedKeep = 8.0;   // a worker's own pace outweighs its kind's after so many jobs
 
 double Brain::ExpectedRun(const Job& job) const {
   if (job.hint > 0) return job.hint * hint_scale_.Or(1.0);
@@ -40,7 +45,8 @@
   // Where jobs wait for room, one may come back to a worker that turned it away.
   if (job.Tried(index, room_keeper_ != nullptr)) return false;
   if (anchor >= 0 && !SameGroup(ClassOf(job.cls).group, workers_[Idx(anchor)], w)) return false;
-  return !Cold(w) || (!mate_.leaving && ColdHeld(w) >= ColdCost(job));
+  if (!Cold(w) || mate_.leaving) return !Cold(w);
+  return direct_ ? ColdHeld(w) >= ColdCost(job) : index == job.cold_drawn;
 }
 
 // Expected time to the job's end, and whether it would find no room.
@@ -93,24 +99,43 @@
   return s_.sizes_told ? w.capacity : std::max(1.0, SlotsOf(w)) / PaceOf(w);
 }
 
+// How many workers to ask now, so that what they are likely to save is worth the price.
+int Brain::ProbesFor(const Job& job) {
+  const double price = s_.price_probe;
+  if (direct_) {
+    const int probes = prompt_.Or(1.0) > 0.8 ? kProbes : kProbesStale;
+    if (price <= 0) return probes;
+    const double most = kProbePoints / price;  // a part of a probe is a chance of one
+    return std::min(probes, static_cast<int>(most + random_.Unit()));
+  }
+  // Peers can't tell what is out at a worker: only the worker does. One is asked after the other
+  // until one has room; the first only where many have none, or now and then to see how many.
+  const double found = roomy_.Or(0.5);
+  const double gain = kLateByWait * (1 - ClassOf(job.cls).late_worth) * found;
+  const int asked = static_cast<int>(job.asked.size());
+  const bool worth = price < (asked > 0 ? gain : gain * (1 - found));
+  const bool look = asked == 0 && random_.Unit() * price < kProbePoints;
+  return worth || look ? std::min(asked > 0 ? 2 : 1, kProbes - asked) : 0;
+}
+
 // Exception: where load is told only on probes, a job waits a moment for a few workers' word.
 bool Brain::AskAround(Job& job) {
   const std::vector<int>& all = Pool(ClassOf(job.cls).kind, -1);
+  const std::vector<int>& near = Pool(ClassOf(job.cls).kind, s_.zone);
   if (!s_.probing || s_.report_source != ReportSource::kOnProbe || all.empty()) return false;
   if (job.expires_at < now_ + 10 * kProbeWaitS) return false;
-  int probes = prompt_.Or(1.0) > 0.8 ? kProbes : kProbesStale;
-  if (s_.price_probe > 0) {
-    const double most = kProbePoints / s_.price_probe;  // a part of a probe is a chance of one
-    probes = std::min(probes, static_cast<int>(most + random_.Unit()));
-  }
-  for (int i = 0; i < 2 * probes && static_cast<int>(job.asked.size()) < probes; ++i) {
-    const int w = Draw(all);
+  job.round = job.asked.size();
+  const std::size_t most = job.round + Idx(ProbesFor(job));
+  for (std::size_t i = 0; i < 2 * most && job.asked.size() < most; ++i) {
+    const bool home = !direct_ && i == 0 && s_.price_cross_zone > 0 && !near.empty();
+    const bool drawn = job.asked.empty() && job.cold_drawn >= 0;
+    const int w = drawn && i == 0 ? job.cold_drawn : Draw(home ? near : all);
     if (std::count(job.asked.begin(), job.asked.end(), w) > 0 || !Allowed(job, w, -1)) continue;
     job.asked.push_back(w);
     workers_[Idx(w)].probed_at = now_;
     actions_->push_back(Probe{workers_[Idx(w)].name});
   }
-  job.awaited = static_cast<int>(job.asked.size());
+  job.awaited = static_cast<int>(job.asked.size() - job.round);
   if (job.awaited == 0) return false;
   asking_.push_back(job.id);
   WatchAt(now_ + kProbeWaitS, job.id, -1);
@@ -136,13 +161,16 @@
   };
   if (job.found >= 0) look(job.found, kNoHome);
   for (const int w : job.asked) look(w, kNoHome);
+  if (!direct_ && best >= 0 && best_score < kOver) return best;  // it says that it has room
   if (job.key != 0 && !all.empty()) {
     const std::vector<int>& homes = HomesOf(job.key, kind);
     for (std::size_t r = 0; r < homes.size(); ++r) look(homes[r], static_cast<int>(r));
   }
-  looked = static_cast<int>(job.asked.size()) - job.awaited;
+  looked = direct_ ? static_cast<int>(job.asked.size()) - job.awaited : 0;
+  const int sample = direct_ ? kSample : kSampleLarge;
+  if (!direct_ && job.cold_drawn >= 0) look(job.cold_drawn, kNoHome);
   // More draws than looks: many may be cold and have had their part.
-  for (int i = 0; i < 4 * kSample && looked < kSample; ++i) {
+  for (int i = 0; i < 4 * kSample && looked < sample; ++i) {
     const std::vector<int>& from =
         i % 2 == 0 && s_.price_cross_zone > 0 && !near.empty() ? near : all;
     if (!from.empty()) look(Draw(from), kNoHome);
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -43,6 +43,7 @@
     return Decline(job);
   }
   bucket.tokens -= 1;
+  DrawCold(job);
   if (bucket.allowed < 0xffff) ++bucket.allowed;
   auto [it, unused] = jobs_.emplace(job.id, std::move(job));
   if (AskAround(it->second)) return;
@@ -68,7 +69,7 @@
   reported_at_ = now_;
   const double keep = std::exp(-span / std::max(kDemandS, 2 * interval_));
   const double quick = std::exp(-span / std::max(kFullS, interval_));
-  std::fill(own_.begin(), own_.end() - 3, 0.0);
+  std::fill_n(own_.begin(), tenants_, 0.0);
   std::vector<UsageReport::Usage> counts;
   for (std::size_t b = 0; b < buckets_.size(); ++b) {
     Bucket& bucket = buckets_[b];
@@ -88,7 +89,8 @@
   }
   const double jobs = own_[Idx(tenants_)] * span;
   for (std::size_t i = 0; !direct_ && i < mean_.size(); ++i) {
-    const double weight = i < Idx(tenants_) ? kOwnWeight : jobs / (jobs + kSignalJobs);
+    const bool signal = i >= Idx(tenants_) && i < Idx(tenants_ + 3);
+    const double weight = signal ? jobs / (jobs + kSignalJobs) : kOwnWeight;
     mean_[i] = measured_ ? mean_[i] + weight * (own_[i] - mean_[i]) : own_[i];
   }
   // What a worker carries in good times; low sends after a cut say nothing of capacity.
@@ -121,6 +123,7 @@
     SumOthers();
   } else {
     for (std::size_t i = 0; i < mean_.size(); ++i) mean_[i] = (mean_[i] + report.rates[i]) / 2;
+    LearnFromPeers(report.rates);
   }
   // Rates draw together, but slowly: else the many that have not cut yet undo each cut at once.
   const double weight = rate_ == kInf ? 1 : kFollow / (direct_ ? s_.dispatchers - 1 : kFanout);
--- a/src/policy/tuning.h
+++ b/src/policy/tuning.h
@@ -13,6 +13,7 @@
 constexpr double kReportS = 0.25;    // interval of a tier of four; grows with the tier's third root
 constexpr double kStaleReports = 6;  // a peer silent for so many intervals is taken for dead
 constexpr double kOwnWeight = 0.15;  // weight of the own sample in a gossiped mean of demand
+constexpr double kLoreWeight = 50;   // jobs that the sums of all peers count for, at least
 constexpr double kReportTrustS = 0.1;  // a report is soon older than what peers and own sends tell
 constexpr double kGroupBad = 0.3;  // a kind's workers in a zone are left where less than this goes
 constexpr double kPaceTrustS = 10.0;
--- a/src/state.h
+++ b/src/state.h
@@ -89,7 +89,9 @@
   std::uint64_t key = 0, print = 0;
   std::vector<Attempt> attempts;
   std::vector<int> asked;  // workers probed for it
-  int awaited = 0;         // of them yet to answer
+  std::size_t round = 0;   // of them, those asked before the last time
+  int awaited = 0;         // of the others, yet to answer
+  int cold_drawn = -1;     // the one cold worker that it may go to, in a large tier
   bool ended = false, dropped = false;
   bool on_hold = false;    // waits for room
   bool hold_watched = false, impossible = false;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <vector>
 
+#include "floor.h"
 #include "membership/call_pace.h"
 
 namespace millethollow {
@@ -70,5 +71,110 @@
   EXPECT_LT(pace.AfterAnswer(1.0), 1.6);  // and back to news that is soon heard
 }
 
+// Sixty nodes, and workers of two kinds that nobody told them of: half with 5 slots, half with 3
+// that take 1.8 times as long. Together 80 seconds of work a second, and 52 are asked for.
+struct Tier {
+  static constexpr int kNodes = 60, kWorkers = 24;
+  static constexpr double kAimS = 0.25, kStretch = 1.75;
+  Floor floor;
+  std::mt19937_64 random{9};
+  std::map<int, std::vector<std::pair<double, double>>> work;  // sent to a worker: when, how much
+
+  static decksail::Settings Settings() {
+    decksail::Settings s;
+    s.classes.resize(1);
+    s.classes[0] = {.aim_s = kAimS, .stretch = kStretch, .give_up_s = 12};
+    s.tenants = {{.share = 1, .quota_rps = 60}};
+    s.tick_s = 0.005;
+    s.most_tries = 4;
+    s.kinds = 2;
+    s.probing = s.tells_start = s.may_duplicate = true;
+    s.report_source = decksail::ReportSource::kOnProbe;
+    s.report_columns = {decksail::Column::kFreeSlots, decksail::Column::kFreeMemory};
+    s.price_probe = 0.01;
+    s.price_peer = 0.0081;
+    s.drain_grace_s = 2;
+    s.cold_share = 0.33;
+    s.cold_s = 8.6;
+    s.fall_multiple = 3;
+    s.overload_for_s = 3;
+    return s;
+  }
+  Tier() : floor(kNodes, Settings(), {}) {
+    for (int w = 0; w < kWorkers; ++w) {
+      const bool large = w % 2 == 0;
+      floor.AddWorker({large ? 5.0 : 3.0, 100}, 6, false, large ? 0 : 1, large ? 1.0 : 1.8);
+    }
+    floor.now = 100;
+    floor.Start();
+  }
+  // Jobs at random moments at random nodes, until `until`.
+  void Serve(double until) {
+    std::exponential_distribution<double> gap(52), run(1.0);
+    std::uniform_int_distribution<std::size_t> node(0, kNodes - 1);
+    while (floor.now < until) {
+      floor.Run(floor.now + gap(random));
+      floor.Ask(node(random), 0, {1, 1}, run(random), 12);
+    }
+    floor.Run(until + 12);
+  }
+  double InTime(double from, double until) const {
+    int all = 0, good = 0;
+    for (const auto& [id, a] : floor.asked) {
+      if (a.at < from || a.at >= until) continue;
+      all += 1;
+      good += a.served && a.took_s <= kAimS + kStretch * a.run_s;
+    }
+    return static_cast<double>(good) / all;
+  }
+};
+
+// Each node sees a job a second: by itself it can't tell the kinds apart, and too many jobs went to
+// the slow workers while the able ones had room.
+TEST(Fleet, ManyNodesLearnTogetherWhatEachKindCanDo) {
+  Tier tier;
+  tier.Serve(125);
+  EXPECT_TRUE(tier.floor.faults.empty());
+  EXPECT_GT(tier.InTime(105, 125), 0.9);
+  EXPECT_LT(tier.floor.probes, 2 * tier.floor.asked.size());
+}
+
+// Parts of jobs can't add up over nodes that send a worker less than one in all its cold time: half
+// the nodes sent a small job each at once, and nobody a large one.
+TEST(Fleet, ColdWorkersAreInSumNeitherFloodedNorStarved) {
+  Tier tier;
+  std::map<int, double> born;
+  tier.floor.At(106, [&] {
+    for (int w = 0; w < Tier::kWorkers / 2; ++w) {
+      tier.floor.members[static_cast<std::size_t>(w)].born_s = born[w] = 106;
+      tier.floor.List(w, decksail::Readiness::kReady);
+    }
+  });
+  tier.Serve(120);
+  std::map<int, double> sent;  // while cold
+  std::map<int, std::map<int, double>> seconds;
+  for (const auto& [id, a] : tier.floor.asked) {
+    if (a.at < 106 || a.at >= 106 + 8.6) continue;
+    for (const int w : a.sent_to) {
+      const bool large = w % 2 == 0;
+      sent[w] += a.run_s * (large ? 1.0 : 1.8);
+      seconds[w][static_cast<int>(a.at - 106)] += a.run_s * (large ? 1.0 : 1.8);
+    }
+  }
+  double cold = 0, warm = 0;
+  for (int w = 0; w < Tier::kWorkers; ++w) {
+    (born.contains(w) ? cold : warm) += sent[w];
+    if (!born.contains(w)) continue;
+    const double slots = w % 2 == 0 ? 5 : 3;
+    for (int from = 0; from + 3 <= 9; ++from) {
+      double span = 0;
+      for (int s = from; s < from + 3; ++s) span += seconds[w][s];
+      EXPECT_LT(span, 3 * 3 * slots * (0.33 + 0.67 * from / 8.6)) << w << " from " << from;
+    }
+  }
+  EXPECT_GT(cold, 0.35 * warm);
+  EXPECT_GT(tier.InTime(106, 118), 0.85);
+}
+
 }  // namespace
 }  // namespace millethollow
--- a/tests/floor.h
+++ b/tests/floor.h
@@ -36,11 +36,15 @@
           settings_, 11 + static_cast<std::uint64_t>(n), options));
     }
   }
-  int AddWorker(scheduling::Need capacity, std::size_t queue, bool told = true) {
+  // `pace`: how many seconds it takes for each that a job should run.
+  int AddWorker(scheduling::Need capacity, std::size_t queue, bool told = true, int kind = 0,
+                double pace = 1) {
     const int w = static_cast<int>(workers.size());
     workers.emplace_back(capacity, queue);
+    paces_.push_back(pace);
     decksail::Member m;
     m.worker = Name(w);
+    m.kind = kind;
     m.cell = w / 2;
     if (told) m.slots = capacity.slots, m.memory = capacity.memory;
     members.push_back(m);
@@ -106,7 +110,7 @@
   std::vector<decksail::Member> members;
   std::map<std::string, Asked> asked;
   std::vector<std::string> faults;  // rules that were broken
-  std::size_t turned_away = 0;
+  std::size_t turned_away = 0, probes = 0;
 
  private:
   static constexpr double kWire = 0.0005, kPeerWire = 0.01;  // one way, seconds
@@ -134,6 +138,7 @@
       At(now + timer->after_s,
          [=, this, mark = timer->mark] { Tell(node, decksail::TimerFired{mark}); });
     } else if (const auto* probe = std::get_if<decksail::Probe>(&action)) {
+      ++probes;
       At(now + 2 * kWire, [=, this, name = probe->worker] {
         const scheduling::Need free = workers[static_cast<std::size_t>(Number(name))].Free();
         Tell(node, decksail::ProbeAnswered{.worker = name,
@@ -157,7 +162,7 @@
   void Submit(std::size_t node, const std::string& id, int attempt, int w) {
     const Asked& a = asked.at(id);
     const std::string at = id + "/" + std::to_string(attempt);
-    if (!workers[static_cast<std::size_t>(w)].Submit({id, a.need, a.run_s, 0})) {
+    if (!workers[static_cast<std::size_t>(w)].Submit({id, a.need, a.run_s * paces_[static_cast<std::size_t>(w)], 0})) {
       ++turned_away;
       At(now + kWire,
          [=, this] { End(node, id, attempt, decksail::Verdict::kTurnedAway); });
@@ -192,6 +197,7 @@
   }
 
   decksail::Settings settings_;
+  std::vector<double> paces_;
   std::map<std::pair<double, std::uint64_t>, std::function<void()>> queue_;
   std::uint64_t order_ = 0;
   std::map<std::string, std::size_t> owner_;
