The rate of a large tier heeds how many workers asked have room, and rises in time

At fault: Control's rise is that of one interval per report, but a large tier reports every one to four intervals, so its rate rose up to four times too slowly; and late starts at slow workers kept full_ set where most workers asked told of room. Now the tier shares how many first probes are sent and find room: with more than three in ten there is no cut and the rate doubles in a second; the rise goes by the time that has passed. Peers' slots out, which a large tier can't sum, are no longer sent there.

Checked and ruled out: word of failed attempts passed on at once (a set of failures in each message, bad workers left by all together).

--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -7,6 +7,25 @@
 
 namespace decksail {
 
+Brain::Brain(const Settings& settings, std::uint64_t seed)
+    : s_(settings), random_(seed), pools_(s_.kinds, s_.zones) {
+  Fit();
+  direct_ = s_.dispatchers - 1 <= kDirectPeers;
+  interval_ = kReportS * std::max(1.0, std::cbrt(s_.dispatchers / 4.0));
+  lore_classes_ = direct_ ? 0 : classes_;
+  own_.assign(Idx(tenants_) + 3 + (direct_ ? 0 : LoreSize()), 0.0);
+  mean_ = own_;
+  peers_.rows.resize(direct_ && s_.peers ? Idx(s_.dispatchers) : 0);
+  blind_ = s_.tells_start && s_.report_source == ReportSource::kOff;
+  copies_ = blind_ ? kCopies : 0.0;
+  sheds_ = s_.cancel && (s_.tells_start ? blind_ : s_.report_source == ReportSource::kOnProbe);
+  kind_pace_.resize(Idx(std::max(1, s_.kinds)));
+  kind_slots_.assign(kind_pace_.size(), 0.0);
+  kind_most_.assign(kind_pace_.size(), {0.0, -1});
+  wait_.assign(kind_pace_.size() * Idx(zones()), 0.0);
+  room_.assign(wait_.size(), 1.0);
+}
+
 // To the settings, at the start and when they change. By class first, so that indices stay.
 void Brain::Fit() {
   classes_ = static_cast<int>(s_.classes.size());
@@ -16,6 +35,20 @@
   run_.resize(s_.classes.size());
 }
 
+void Brain::On(const SettingsChanged& e) {
+  s_ = *e.settings;
+  Fit();
+  for (const int c : *e.begun) {
+    run_[Idx(c)] = {};
+    std::fill_n(buckets_.begin() + c * tenants_, tenants_, Bucket{});
+  }
+}
+
+void Brain::On(const Mate& e) {
+  mate_ = e;
+  if (e.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
+}
+
 void Brain::RemakePools() {  // only when the list or an ejection changes
   pools_.Remake(workers_);
   ready_ = ejected_ = 0;
@@ -84,6 +117,7 @@
 std::string Brain::Message(bool fresh, std::vector<UsageReport::Usage> counts, bool to_mate) const {
   std::vector<std::pair<std::uint16_t, int>> out;
   for (const Worker& w : workers_) {
+    if (!direct_ && !to_mate) break;  // one of many can't say how much is out there
     const double held = room_keeper_ ? room_keeper_->Held(w.name) : 0.0;
     const double slots = w.out + held + (to_mate ? 0.0 : w.mate);
     if (slots > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
--- a/src/brain.h
+++ b/src/brain.h
@@ -64,13 +64,18 @@
   void Control(double span);
   const ClassSettings& ClassOf(int c) const { return s_.classes[Idx(c)]; }
 
-  // What is learned of classes and kinds, in a large tier: time and jobs of each class; pace, jobs
-  // and slots of each kind.
+  // What all learn together in a large tier, after the rates: workers asked and those that had
+  // room, per second; time and jobs of each class; pace, jobs and slots of each kind.
+  std::size_t AskedAt() const { return Idx(tenants_ + 3); }
   std::size_t LoreOf(int cls, int kind) const {
-    const int at = kind < 0 ? 2 * cls : 2 * lore_classes_ + 3 * kind;
-    return Idx(tenants_ + 3 + at);
+    return AskedAt() + 2 + Idx(kind < 0 ? 2 * cls : 2 * lore_classes_ + 3 * kind);
+  }
+  std::size_t LoreSize() const { return Idx(2 + 2 * lore_classes_ + 3 * std::max(1, s_.kinds)); }
+  // The share of workers that have room, as the whole tier finds it.
+  double Found(double unasked) const {
+    const double asked = direct_ ? 0.0 : mean_[AskedAt()];
+    return asked > 0 ? mean_[AskedAt() + 1] / asked : unasked;
   }
-  std::size_t LoreSize() const { return Idx(2 * lore_classes_ + 3 * std::max(1, s_.kinds)); }
   void LearnFromPeers(const std::vector<double>& told);
 
   // Placement.
@@ -172,7 +177,7 @@
   std::vector<double> wait_, room_;  // by kind and zone: wait for a start, share that goes well
   Mean memory_;                      // of a job, for each of its slots
   int lore_classes_ = 0;
-  Mean roomy_;                          // workers asked that told of a free slot
+  double asked_ = 0, roomy_ = 0;        // first ones asked for a job, and those with a free slot
   Mean all_run_, hint_scale_, prompt_;  // prompt_: slots told free where a job started at once
   // Jobs.
   TextMap<Job> jobs_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -33,6 +33,10 @@
   steady_at_start_ = Seconds<std::chrono::steady_clock>();
 }
 
+// A connection that was closed in the last turn may have a deferred callback yet, which holds it:
+// libevent lets go of it only as it runs, and with the base freed first it was never let go.
+Loop::~Loop() { event_base_loop(base_.get(), EVLOOP_NONBLOCK); }
+
 double Loop::Now() const {
   return wall_at_start_ + (Seconds<std::chrono::steady_clock>() - steady_at_start_);
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -43,6 +43,7 @@
   static constexpr int kFirst = 0;  // the priority of events that go before all others
 
   Loop();
+  ~Loop();
   event_base* base() { return base_.get(); }
   Deadlines& deadlines() { return deadlines_; }
   DescriptorBudget& budget() { return budget_; }
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -218,6 +218,10 @@
     const Worker& worker = workers_[Idx(w)];
     return now_ - worker.report_at < kReportTrustS && !Outlook(job, worker).second;
   };
+  if (!direct_ && job.round == 0 && job.asked[0] != job.cold_drawn) {
+    asked_ += 1;
+    roomy_ += has_room(job.asked[0]);
+  }
   if (!direct_ && std::none_of(job.asked.begin(), job.asked.end(), has_room) && AskAround(job)) {
     return;
   }
--- a/src/policy/discovery.cpp
+++ b/src/policy/discovery.cpp
@@ -9,25 +9,6 @@
 constexpr double kPeerPoints = 0.003;  // of the result may go into messages
 constexpr double kGroupFade = 0.05;    // what went badly is forgiven with each report interval
 
-Brain::Brain(const Settings& settings, std::uint64_t seed)
-    : s_(settings), random_(seed), pools_(s_.kinds, s_.zones) {
-  Fit();
-  direct_ = s_.dispatchers - 1 <= kDirectPeers;
-  interval_ = kReportS * std::max(1.0, std::cbrt(s_.dispatchers / 4.0));
-  lore_classes_ = direct_ ? 0 : classes_;
-  own_.assign(Idx(tenants_) + 3 + (direct_ ? 0 : LoreSize()), 0.0);
-  mean_ = own_;
-  peers_.rows.resize(direct_ && s_.peers ? Idx(s_.dispatchers) : 0);
-  blind_ = s_.tells_start && s_.report_source == ReportSource::kOff;
-  copies_ = blind_ ? kCopies : 0.0;
-  sheds_ = s_.cancel && (s_.tells_start ? blind_ : s_.report_source == ReportSource::kOnProbe);
-  kind_pace_.resize(Idx(std::max(1, s_.kinds)));
-  kind_slots_.assign(kind_pace_.size(), 0.0);
-  kind_most_.assign(kind_pace_.size(), {0.0, -1});
-  wait_.assign(kind_pace_.size() * Idx(zones()), 0.0);
-  room_.assign(wait_.size(), 1.0);
-}
-
 void Brain::On(const Started&) {
   reported_at_ = now_;
   next_cut_ = now_ + std::max(kDemandS, 2 * interval_);  // demand is not known yet
@@ -100,15 +81,6 @@
   RemakePools();
 }
 
-void Brain::On(const SettingsChanged& e) {
-  s_ = *e.settings;
-  Fit();
-  for (const int c : *e.begun) {
-    run_[Idx(c)] = {};
-    std::fill_n(buckets_.begin() + c * tenants_, tenants_, Bucket{});
-  }
-}
-
 void Brain::StartAfresh(Worker& w) {
   w.ejected = w.probation = false;
   w.eject_s = w.errors = 0;
--- a/src/policy/fleet_rate.cpp
+++ b/src/policy/fleet_rate.cpp
@@ -10,7 +10,9 @@
 constexpr double kProof = 8;         // jobs of an interval that a share of them must stand against
 constexpr double kLateWeight = 0.7;  // a late start is a 'full' only in part
 constexpr double kCut = 0.85;        // deep enough to end an overload in a few cuts
-constexpr double kRise = 0.2;        // step up, as a share of the rate, per second without a cut
+constexpr double kRoomy = 0.3;  // where so many of those asked have a free slot, there is no cut
+constexpr double kRiseRoomy = 1.0;  // and the step up is this
+constexpr double kRise = 0.2;       // step up, as a share of the rate, per second without a cut
 // Never below what is told and asked for: a bounce is cheap, refusing in-share work is not. Deep
 // waiting rooms make all late instead: then less, by the share that starts late.
 constexpr double kLateDepth = 0.5;
@@ -35,6 +37,9 @@
   const double shown =
       sends + kProof / std::max(span, interval_) * (direct_ ? 1.0 : s_.dispatchers * kOwnWeight);
   full_ = sends > 0 && fulls + kLateWeight * lates > kFullShare * shown;
+  // Where the tier asks workers, what they say goes before what some slow ones make late.
+  const bool roomy = !direct_ && Found(0) > kRoomy;
+  full_ &= !roomy;
   if (full_) {
     if (now_ >= next_cut_) {
       // Cut from what was carried: clients that return at once make sends a multiple of demand.
@@ -44,7 +49,9 @@
       copies_ /= 2;
     }
   } else {
-    const double rise = std::pow(1 + kRise, interval_);
+    // Reports of a large tier come late; its rate must not rise the slower for it.
+    const double step = roomy ? kRiseRoomy : kRise;
+    const double rise = std::pow(1 + step, direct_ ? interval_ : span);
     // Never under what is told and asked, here too: where a node restarts, demand goes and comes
     // back at once, and a rate that had shrunk with it refused all for seconds at idle workers.
     if (rate_ != kInf) rate_ = std::max(told, std::min(rate_ * rise, kSlack * demand));
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -78,7 +78,6 @@
     if (!(v >= 0 && v < kMostReport)) return;
   }
   w.TakeReport(now_, s_.report_columns, report);
-  roomy_.Add(w.free > 0.5, 30);
   ++version_;
   // A kind holds what two workers agree on: one that is wrong must not make it bottomless.
   double& slots = kind_slots_[Idx(w.kind)];
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -110,7 +110,7 @@
   }
   // Peers can't tell what is out at a worker: only the worker does. One is asked after the other
   // until one has room; the first only where many have none, or now and then to see how many.
-  const double found = roomy_.Or(0.5);
+  const double found = Found(0.5);
   const double gain = kLateByWait * (1 - ClassOf(job.cls).late_worth) * found;
   const int asked = static_cast<int>(job.asked.size());
   const bool worth = price < (asked > 0 ? gain : gain * (1 - found));
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -82,14 +82,16 @@
     bucket.seen = 0;
     own_[b % Idx(tenants_)] += bucket.demand;
   }
-  for (const auto& [slot, count] : {std::pair{0, &sends_}, {1, &fulls_}, {2, &lates_}}) {
+  std::vector<std::pair<int, double*>> signals{{0, &sends_}, {1, &fulls_}, {2, &lates_}};
+  if (!direct_) signals.insert(signals.end(), {{3, &asked_}, {4, &roomy_}});
+  for (const auto& [slot, count] : signals) {
     double& rate = own_[Idx(tenants_ + slot)];
     rate = measured_ ? rate * quick + *count / span * (1 - quick) : *count / span;
     *count = 0;
   }
   const double jobs = own_[Idx(tenants_)] * span;
   for (std::size_t i = 0; !direct_ && i < mean_.size(); ++i) {
-    const bool signal = i >= Idx(tenants_) && i < Idx(tenants_ + 3);
+    const bool signal = i >= Idx(tenants_) && i < Idx(tenants_ + 5);
     const double weight = signal ? jobs / (jobs + kSignalJobs) : kOwnWeight;
     mean_[i] = measured_ ? mean_[i] + weight * (own_[i] - mean_[i]) : own_[i];
   }
@@ -132,9 +134,4 @@
   if (report.fresh && measured_) actions_->push_back(TellPeer{e.sender, Message(false, {})});
 }
 
-void Brain::On(const Mate& e) {
-  mate_ = e;
-  if (e.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
-}
-
 }  // namespace decksail
