Cold workers of a large tier get more, bounded by their own word of free slots

At fault: kColdPart, half of the guarantee, was made for nodes that can't see what all others send. Now a cold worker that can be asked gets 0.8 of it, and no more once three quarters of its slots are taken: what it has out bounds what it can be sent in the guarantee's span.

--- a/src/brain.h
+++ b/src/brain.h
@@ -103,6 +103,7 @@
   // Worker health and cold budget.
   bool Cold(const Worker& w) const;
   double ColdPart(const Worker& w) const;
+  bool ColdRoom(const Worker& w) const;
   double ColdHeld(const Worker& w) const;
   double ColdCost(const Job& job) const;
   void DrawCold(Job& job);
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -12,6 +12,8 @@
 constexpr double kEjectS = 2.0, kEjectMostS = 12.0;  // first ejection, doubled each time up to this
 constexpr double kEjectShare = 0.7;  // never more of the fleet than this: a lost zone of two fits
 constexpr double kColdPart = 0.5;    // of what the guarantee allows to a cold worker
+// In a large tier a cold worker that is asked says itself when it has enough: half of its slots.
+constexpr double kColdPartAsked = 0.8;
 
 bool Brain::Cold(const Worker& w) const { return w.born > 0 && now_ - w.born < s_.cold_s; }
 
@@ -20,7 +22,11 @@
 // charged.
 double Brain::ColdPart(const Worker& w) const {
   const double age = std::clamp((now_ - w.born) / std::max(s_.cold_s, 1e-9), 0.0, 1.0);
-  return kColdPart * s_.fall_multiple * (s_.cold_share + (1 - s_.cold_share) * age);
+  const double part = !direct_ && s_.probing ? kColdPartAsked : kColdPart;
+  return part * s_.fall_multiple * (s_.cold_share + (1 - s_.cold_share) * age);
+}
+bool Brain::ColdRoom(const Worker& w) const {
+  return now_ - w.report_at > kReportTrustS || w.free - w.sent_since > SlotsOf(w) / 4;
 }
 double Brain::ColdHeld(const Worker& w) const {
   return w.cold_tokens + ColdPart(w) * carried_ * (now_ - w.cold_at);
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -46,7 +46,7 @@
   if (job.Tried(index, room_keeper_ != nullptr)) return false;
   if (anchor >= 0 && !SameGroup(ClassOf(job.cls).group, workers_[Idx(anchor)], w)) return false;
   if (!Cold(w) || mate_.leaving) return !Cold(w);
-  return direct_ ? ColdHeld(w) >= ColdCost(job) : index == job.cold_drawn;
+  return direct_ ? ColdHeld(w) >= ColdCost(job) : index == job.cold_drawn && ColdRoom(w);
 }
 
 // Expected time to the job's end, and whether it would find no room.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -173,7 +173,7 @@
       EXPECT_LT(span, 3 * 3 * rate * (0.33 + 0.67 * from / 8.6) + chance) << w << " from " << from;
     }
   }
-  EXPECT_GT(cold, 0.35 * warm);
+  EXPECT_GT(cold, 0.5 * warm);
   EXPECT_GT(tier.InTime(106, 118), 0.85);
 }
 
