--- a/src/membership/call_pace.h
+++ b/src/membership/call_pace.h
@@ -16,7 +16,7 @@
 class CallPace {
  public:
   CallPace(int nodes, double ask_within_s)
-      : start_(std::min(kStartShare * ask_within_s, kSpreadS * nodes)),
+      : start_(std::min(kStartShare * ask_within_s, kStartSpreadS * nodes)),
         least_(std::min(kMostSpreadS, kSpreadS * nodes)),
         most_after_answer_(kAskedShare * ask_within_s),
         most_(std::max(least_, kFailedShare * ask_within_s)),
@@ -36,7 +36,9 @@
   }
 
  private:
-  static constexpr double kSpreadS = 0.03;  // for each node of the tier
+  // For each node of the tier: between news, and where all may have been started at once and none
+  // knows what discovery bears.
+  static constexpr double kSpreadS = 0.03, kStartSpreadS = 0.06;
   static constexpr double kMostSpreadS = 1.5;
   static constexpr double kWider = 8.0;
   static constexpr double kNarrower = 0.7;  // slower than it widened: else it tips over again
@@ -44,7 +46,7 @@
   // Of the time that a list may be left unasked: after an answer, and after a failed call, when
   // the rules allow four times as long.
   static constexpr double kAskedShare = 0.7, kFailedShare = 2.0;
-  static constexpr double kStartShare = 0.3;
+  static constexpr double kStartShare = 0.6;
 
   double start_, least_, most_after_answer_, most_, window_;
 };
