A large tier that is full refuses at once what finds no room, instead of queueing it

Ruled out: cold workers left idle (util 0.5 to 0.85 here), a lost list, CPU (0.1 s a node in all). At fault: after the last round Place sends blindly, and the tier's rate is cut seconds later. Now, where fewer than three in ten of those asked have room in the whole tier, a job that three workers told they are full is refused unsent.

--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -10,6 +10,7 @@
 constexpr double kSilentS = 0.25;    // no word since a send: the worker is asked whether it lives
 constexpr double kOverdue = 4.0;     // an attempt this many times its expected time is overdue
 constexpr double kLastWordS = 0.15;  // before its time is over, one that waits is refused
+constexpr int kAskedFull = 3;        // so many without room say that there is none
 constexpr int kOnHold = -2;          // a watch on the wait, not on an attempt
 constexpr double kDropsKept = 10.0;  // starts that earn the right to call off as much hopeless work
 
@@ -222,8 +223,16 @@
     asked_ += 1;
     roomy_ += has_room(job.asked[0]);
   }
-  if (!direct_ && std::none_of(job.asked.begin(), job.asked.end(), has_room) && AskAround(job)) {
-    return;
+  if (!direct_ && std::none_of(job.asked.begin(), job.asked.end(), has_room)) {
+    if (AskAround(job)) return;
+    // Where the whole tier is full it would end late, and so would all that wait behind it:
+    // workers' queues then stay full for long after. Refused unsent, it may find room when it
+    // returns.
+    const auto told = [&](int w) { return now_ - workers_[Idx(w)].report_at < kReportTrustS; };
+    if (std::ranges::count_if(job.asked, told) >= kAskedFull && Found(1) < kRoomy) {
+      fulls_ += 1;
+      return Settle(job);
+    }
   }
   Place(job);
   Settle(job);
--- a/src/policy/fleet_rate.cpp
+++ b/src/policy/fleet_rate.cpp
@@ -10,9 +10,8 @@
 constexpr double kProof = 8;         // jobs of an interval that a share of them must stand against
 constexpr double kLateWeight = 0.7;  // a late start is a 'full' only in part
 constexpr double kCut = 0.85;        // deep enough to end an overload in a few cuts
-constexpr double kRoomy = 0.3;  // where so many of those asked have a free slot, there is no cut
-constexpr double kRiseRoomy = 1.0;  // and the step up is this
-constexpr double kRise = 0.2;       // step up, as a share of the rate, per second without a cut
+constexpr double kRiseRoomy = 1.0;   // the step up in a tier that is found roomy
+constexpr double kRise = 0.2;        // step up, as a share of the rate, per second without a cut
 // Never below what is told and asked for: a bounce is cheap, refusing in-share work is not. Deep
 // waiting rooms make all late instead: then less, by the share that starts late.
 constexpr double kLateDepth = 0.5;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -201,5 +201,23 @@
   EXPECT_LT(after, 0.03 * asked);
 }
 
+// A zone was lost, and the queues of all other workers filled with work that ended late, for ten
+// seconds after the zone was back.
+TEST(Fleet, AFullTierRefusesAtOnceInsteadOfFillingEveryQueue) {
+  Tier tier;
+  tier.floor.At(104, [&] {
+    for (int w = 0; w < 16; ++w) tier.floor.List(w, decksail::Readiness::kDraining);
+  });
+  tier.Serve(116);
+  int served = 0, late = 0;
+  for (const auto& [id, a] : tier.floor.asked) {
+    if (a.at < 107 || !a.served) continue;
+    served += 1;
+    late += a.took_s > Tier::kAimS + Tier::kStretch * a.run_s;
+  }
+  EXPECT_GT(served - late, 100);
+  EXPECT_LT(late, 0.4 * served);
+}
+
 }  // namespace
 }  // namespace millethollow
