--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -219,5 +219,40 @@
   EXPECT_LT(late, 0.4 * served);
 }
 
+// What peers have learned comes with their reports: one that is cut, of another form, or from nobody
+// in the tier teaches nothing and is not answered.
+TEST(Fleet, DamagedAndForeignReportsAreIgnored) {
+  decksail::Settings s = Tier::Settings();
+  s.dispatchers = 100;
+  s.peers = true;
+  const auto told = [](decksail::Balancer& node, double now, const decksail::Event& event) {
+    std::vector<std::string> bodies;
+    decksail::Actions actions;
+    node.Handle(now, event, &actions);
+    for (const decksail::Action& a : actions) {
+      if (const auto* tell = std::get_if<decksail::TellPeer>(&a)) bodies.push_back(tell->body);
+    }
+    return bodies;
+  };
+  decksail::Balancer hears(s, 1);
+  s.ordinal = 1;
+  decksail::Balancer tells(s, 2);
+  for (decksail::Balancer* node : {&hears, &tells}) told(*node, 100, decksail::Started{});
+  told(hears, 105, decksail::TimerFired{1});
+  const auto reports = told(tells, 105, decksail::TimerFired{1});
+  ASSERT_FALSE(reports.empty());
+  const std::string good = reports[0];
+  ASSERT_LE(good.size(), 256u);
+  const std::size_t fixed = 9 + 4 * static_cast<std::size_t>(static_cast<unsigned char>(good[3]));
+  for (std::size_t n = 0; n < fixed; ++n) {
+    EXPECT_TRUE(told(hears, 106, decksail::PeerMessage{1, good.substr(0, n)}).empty()) << n;
+  }
+  std::string older = good;  // fewer figures, as the program before this one sends
+  older[3] = static_cast<char>(older[3] - 7);
+  EXPECT_TRUE(told(hears, 106, decksail::PeerMessage{1, older}).empty());
+  EXPECT_TRUE(told(hears, 106, decksail::PeerMessage{100, good}).empty());
+  EXPECT_FALSE(told(hears, 106, decksail::PeerMessage{1, good}).empty());  // it asks, having none yet
+}
+
 }  // namespace
 }  // namespace millethollow
