--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -276,7 +276,8 @@
   bool Avoids(std::string_view worker) const;
   // Jobs start only where `room` lets them, and else wait. To be set before the first event.
   void KeepRoom(RoomKeeper* room);
-  // Anew after each event that gave another version; the order of workers never changes.
+  // Anew after each event that gave another version. A worker keeps its place while it is known;
+  // one gone from the lists for long, with nothing of ours there, may give its place to a new one.
   std::uint64_t version() const;
   std::vector<WorkerView> Workers() const;
   double DemandPart() const;  // this dispatcher's part of all demand, 0 to 1
--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -51,6 +51,40 @@
   if (e.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
 }
 
+// A worker off the list this long, with nothing of ours out and named by no open job, gives its
+// place to the next new one. Else every name that a list ever carried stays, and each list and
+// peer report costs more the longer the node runs while workers are replaced under new names.
+constexpr double kForgetS = 300;
+
+int Brain::SlotFor(const std::string& name, std::vector<char>* listed) {
+  Worker fresh{.name = name, .hash = HashText(name), .limit = mean_limit_};
+  const auto named = [this](int i) {
+    return std::any_of(jobs_.begin(), jobs_.end(), [i](const auto& entry) {
+      const Job& job = entry.second;
+      return job.cold_drawn == i || job.found == i ||
+             std::find(job.asked.begin(), job.asked.end(), i) != job.asked.end() ||
+             job.Any([i](const Attempt& a) { return a.worker == i; });
+    });
+  };
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    const Worker& w = workers_[i];
+    const int at = static_cast<int>(i);
+    if (w.listed || w.out_by_hand || w.out > 0 || w.memory_out > 0 || now_ - w.seen_at < kForgetS ||
+        named(at)) {
+      continue;
+    }
+    index_.erase(w.name);
+    for (auto& [most, who] : kind_most_) {
+      if (who == static_cast<std::ptrdiff_t>(i)) std::tie(most, who) = std::pair(0.0, -1);
+    }
+    workers_[i] = std::move(fresh);
+    return at;
+  }
+  workers_.push_back(std::move(fresh));
+  listed->push_back(1);
+  return static_cast<int>(workers_.size()) - 1;
+}
+
 void Brain::RemakePools() {  // only when the list or an ejection changes
   pools_.Remake(workers_);
   ready_ = ejected_ = 0;
--- a/src/brain.h
+++ b/src/brain.h
@@ -141,6 +141,7 @@
   void AskIn(double span);
   void On(const TimerFired& e);
   void On(const MembersKnown& e);
+  int SlotFor(const std::string& name, std::vector<char>* listed);
   void Fit();
   void On(const SettingsChanged& e);
   void StartAfresh(Worker& w);
--- a/src/policy/discovery.cpp
+++ b/src/policy/discovery.cpp
@@ -64,15 +64,12 @@
   if (e.members == nullptr) return;
   std::vector<char> listed(workers_.size(), e.kind == ListKind::kUpdate);
   for (const Member& m : *e.members) {
-    auto [it, fresh] = index_.try_emplace(m.worker, static_cast<int>(workers_.size()));
-    if (fresh) {
-      workers_.push_back({.name = m.worker, .hash = HashText(m.worker), .limit = mean_limit_});
-      listed.push_back(1);
-    }
+    auto it = index_.find(m.worker);
+    if (it == index_.end()) it = index_.emplace(m.worker, SlotFor(m.worker, &listed)).first;
     listed[Idx(it->second)] = 1;
     Worker& w = workers_[Idx(it->second)];
     const bool restarted = m.born_s > w.born && m.born_s > 0;
-    w.Follow(m, static_cast<int>(kind_pace_.size()), zones());
+    w.Follow(m, now_, static_cast<int>(kind_pace_.size()), zones());
     if (restarted) StartAfresh(w);
   }
   for (std::size_t i = 0; i < workers_.size(); ++i) {
--- a/src/scheduling/desk.cpp
+++ b/src/scheduling/desk.cpp
@@ -67,9 +67,12 @@
   const std::vector<decksail::WorkerView> views = balancer_.Workers();
   for (std::size_t w = 0; w < views.size(); ++w) {
     const decksail::WorkerView& v = views[w];
-    if (w >= workers_.size()) {
-      workers_.push_back({.name = std::string(v.worker)});
-      index_.emplace(workers_.back().name, static_cast<int>(w));
+    if (w >= workers_.size()) workers_.emplace_back();
+    if (workers_[w].name != v.worker) {  // new, or in the place of one that the module forgot
+      const auto held = index_.find(workers_[w].name);
+      if (held != index_.end() && held->second == static_cast<int>(w)) index_.erase(held);
+      workers_[w] = {.name = std::string(v.worker)};
+      index_.emplace(workers_[w].name, static_cast<int>(w));
     }
     Worker& worker = workers_[w];
     worker.kind = v.kind;
--- a/src/state.h
+++ b/src/state.h
@@ -23,6 +23,7 @@
   bool listed = false, out_by_hand = false;
   int zone = 0, kind = 0, cell = 0;
   double capacity = 1, born = 0;
+  double seen_at = 0;  // last named by a list
   double told_slots = 0, told_memory = 0;
   double out = 0;     // own slots out
   double memory_out = 0;  // and memory
@@ -45,7 +46,8 @@
     v(heard_at, probed_at, eject_until, eject_s, errors, ejected, probation, cold_tokens, cold_at, back_at);
   }
 
-  void Follow(const Member& m, int kinds, int zones) {
+  void Follow(const Member& m, double now, int kinds, int zones) {
+    seen_at = now;
     zone = std::clamp(m.zone, 0, zones - 1);
     kind = std::clamp(m.kind, 0, kinds - 1);
     cell = m.cell;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1,6 +1,7 @@
 // Drives the decision module by hand: no bench, no clock, no I/O.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -1070,5 +1071,49 @@
   }
 }
 
+// Workers replaced under new names, as each deploy does: the module must not keep every name that a
+// list ever carried, yet must keep one that still has work of ours out.
+TEST(BrainTest, WorkersGoneLongAgoAreForgottenUnlessWorkIsOutThere) {
+  Balancer balancer(Plain(), 7);
+  Actions actions;
+  double now = 100;
+  balancer.Handle(now, Started{}, &actions);
+  std::vector<Member> members = Fleet(4);
+  balancer.Handle(now, MembersKnown{ListKind::kReplace, &members}, &actions);
+  JobArrived job;
+  job.id = "long";
+  job.expires_s = now + 1e6;
+  actions.clear();
+  balancer.Handle(now, job, &actions);
+  const std::vector<Send> sent = Only<Send>(actions);
+  ASSERT_EQ(sent.size(), 1u);
+  const std::string busy = sent[0].worker;
+  for (int i = 0; i < 2000; ++i) {  // one replaced every 10 s, for 20,000 s
+    now += 10;
+    members.erase(members.begin());
+    Member m;
+    m.worker = "n" + std::to_string(i);
+    members.push_back(m);
+    actions.clear();
+    balancer.Handle(now, MembersKnown{ListKind::kReplace, &members}, &actions);
+  }
+  const std::vector<WorkerView> views = balancer.Workers();
+  EXPECT_LE(views.size(), 4u + 300 / 10 + 2);
+  EXPECT_TRUE(std::ranges::any_of(views, [&](const WorkerView& v) { return v.worker == busy; }));
+  for (const Member& m : members) {
+    EXPECT_TRUE(
+        std::ranges::any_of(views, [&](const WorkerView& v) { return v.worker == m.worker; }));
+  }
+  AttemptEnded end;
+  end.id = "long";
+  end.terminal = true;
+  actions.clear();
+  balancer.Handle(now, end, &actions);
+  members.push_back({.worker = "after"});
+  balancer.Handle(now + 400, MembersKnown{ListKind::kReplace, &members}, &actions);
+  const std::vector<WorkerView> later = balancer.Workers();
+  EXPECT_FALSE(std::ranges::any_of(later, [&](const WorkerView& v) { return v.worker == busy; }));
+}
+
 }  // namespace
 }  // namespace decksail
