--- a/src/brain.h
+++ b/src/brain.h
@@ -173,6 +173,7 @@
   double mean_limit_ = 1, carried_ = 0, most_power_ = 1, mean_power_ = 1;
   std::uint64_t pool_version_ = 0, homes_version_ = 0;
   std::unordered_map<std::uint64_t, std::vector<int>> homes_;
+  std::vector<std::pair<std::uint64_t, int>> ranked_;  // HomesOf's, kept for its capacity
   std::vector<Mean> run_, kind_pace_;
   std::vector<double> kind_slots_;  // what a kind holds: the second most free slots told
   std::vector<std::pair<double, std::ptrdiff_t>> kind_most_;  // the most, and by whom
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -188,12 +188,13 @@
   homes_version_ = pool_version_;
   auto [it, fresh] = homes_.try_emplace(key * 31 + static_cast<std::uint64_t>(kind + 1));
   if (fresh) {
-    std::vector<std::pair<std::uint64_t, int>> ranked;
-    for (const int w : Pool(kind, -1)) ranked.emplace_back(Mix(key, workers_[Idx(w)].hash), w);
-    const auto n = std::min<std::size_t>(kHomes, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
-                      ranked.end());
-    for (std::size_t i = 0; i < n; ++i) it->second.push_back(ranked[i].second);
+    ranked_.clear();  // kept from key to key: most keys are new, and each would allocate anew
+    for (const int w : Pool(kind, -1)) ranked_.emplace_back(Mix(key, workers_[Idx(w)].hash), w);
+    const auto n = std::min<std::size_t>(kHomes, ranked_.size());
+    std::partial_sort(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked_.end());
+    it->second.reserve(n);
+    for (std::size_t i = 0; i < n; ++i) it->second.push_back(ranked_[i].second);
   }
   return it->second;
 }
