--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 constexpr std::size_t kMostEndedIds = 4096;  // names remembered after their envelope's end
-}
+constexpr double kForgetS = 300;             // a next hop gone this long is forgotten
+}  // namespace
 
 bool Planner::Entry::MayHaveRun() const {
   return std::any_of(attempts.begin(), attempts.end(),
@@ -242,15 +243,30 @@
 void Planner::ListKnown(ListKind kind, const std::vector<Member>& members) {
   std::vector<Member> list = members;
   if (kind == ListKind::kReplace || kind == ListKind::kRestored) {
-    // A full list replaces: who is missing is gone. Next hops of our own are not on the list.
-    for (auto& [name, hop] : next_hops_) {
+    // A full list replaces: who is missing is gone. Next hops of our own are not on the list. One
+    // gone for long, with nothing out there and not out by hand, is forgotten, as the module
+    // forgets it: else each name ever listed stays, and each full list costs more.
+    std::unordered_set<std::string_view> listed, busy;
+    for (const Member& m : members) listed.insert(m.worker);
+    for (const auto& [id, entry] : ledger_) {
+      for (const Attempt& a : entry.attempts) {
+        if (a.open) busy.insert(a.next_hop);
+      }
+    }
+    const double now = hooks_.now();
+    for (auto it = next_hops_.begin(); it != next_hops_.end();) {
+      NextHop& hop = it->second;
       if (hop.local) {
         list.push_back(hop.member);
-      } else if (std::none_of(members.begin(), members.end(),
-                              [&](const Member& m) { return m.worker == name; })) {
+      } else if (!listed.contains(it->first)) {
         hop.member.readiness = Readiness::kGone;
-        if (hop.drain_told_at < 0) hop.drain_told_at = hooks_.now();
+        if (hop.drain_told_at < 0) hop.drain_told_at = now;
+        if (hop.out_since < 0 && now - hop.drain_told_at > kForgetS && !busy.contains(it->first)) {
+          it = next_hops_.erase(it);
+          continue;
+        }
       }
+      ++it;
     }
   }
   for (const Member& m : members) Note(m, false, 0);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -151,6 +151,41 @@
   EXPECT_LE(w.port.answers[0].retry_after_s, w.config.settings.max_retry_after_s);
 }
 
+// Next hops replaced under new names, as each deploy does: the planner keeps the one with an
+// envelope out and the one out by hand, and forgets the others that are long gone.
+TEST(Planner, ForgetsNextHopsGoneLongAgoButNotOneInUseOrOutByHand) {
+  World w;
+  const EnvelopeId id = w.Take(0, 1e6);
+  ASSERT_EQ(w.port.sent.size(), 1u);
+  const std::string busy = w.port.sent[0].next_hop;
+  std::vector<decksail::Member> list;
+  for (const Planner::Known& k : w.planner->Knowledge()) list.push_back(k.member);
+  const std::string by_hand = list[0].worker == busy ? list[1].worker : list[0].worker;
+  ASSERT_TRUE(w.planner->Maintain(by_hand, true));
+  for (int i = 0; i < 2000; ++i) {  // one replaced every 10 s, for 20,000 s
+    w.now += 10;
+    list.erase(list.begin());
+    decksail::Member m;
+    m.worker = "127.0.1." + std::to_string(i % 250) + ":" + std::to_string(1000 + i);
+    list.push_back(m);
+    w.planner->ListKnown(decksail::ListKind::kReplace, list);
+  }
+  const std::vector<Planner::Known> known = w.planner->Knowledge();
+  EXPECT_LE(known.size(), 3u + 300 / 10 + 1 + 2);  // listed, gone within 300 s, busy, by hand
+  const auto has = [&](const std::string& name) {
+    return std::any_of(known.begin(), known.end(),
+                       [&](const Planner::Known& k) { return k.member.worker == name; });
+  };
+  EXPECT_TRUE(has(busy));
+  EXPECT_TRUE(has(by_hand));
+  w.planner->Ended(id, 0, {.verdict = Verdict::kServed});
+  w.now += 10;
+  w.planner->ListKnown(decksail::ListKind::kReplace, list);
+  const std::vector<Planner::Known> after = w.planner->Knowledge();
+  EXPECT_FALSE(std::any_of(after.begin(), after.end(),
+                           [&](const Planner::Known& k) { return k.member.worker == busy; }));
+}
+
 TEST(Planner, ALostForwardersEnvelopesAreClosed) {
   World w;
   w.Take(1);
