--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -186,6 +186,31 @@
                            [&](const Planner::Known& k) { return k.member.worker == busy; }));
 }
 
+// Names of ended envelopes are remembered 4,096 at most: the last 4,096 are refused, the one before
+// them may come again.
+TEST(Planner, RemembersTheLast4096NamesAndNoMore) {
+  World w;
+  const auto take = [&](int n) {
+    Envelope e;
+    e.id = w.number << kForwarderShift | ++w.last;
+    e.wire_id = "r" + std::to_string(n);
+    e.expires_at = w.now + 5;
+    const std::size_t answers = w.port.answers.size();
+    w.planner->Taken(e);
+    if (w.port.answers.size() > answers &&
+        w.port.answers.back().kind == FinalAnswer::Kind::kRejected) {
+      return false;  // refused as a name already used
+    }
+    w.planner->Ended(e.id, 0, {.verdict = Verdict::kServed});
+    w.now += 0.01;
+    return true;
+  };
+  for (int n = 0; n <= 4096; ++n) ASSERT_TRUE(take(n)) << n;
+  EXPECT_FALSE(take(1));    // among the last 4,096
+  EXPECT_FALSE(take(4096));
+  EXPECT_TRUE(take(0));     // the 4,097th from the end: forgotten
+}
+
 TEST(Planner, ALostForwardersEnvelopesAreClosed) {
   World w;
   w.Take(1);
