A worker whose fractional slots left a rounding residue is forgotten all the same

Observed: jobs of 0.1, 0.2 and 0.3 slots sent to one worker and all ended leave 5.6e-17 slots out there; Brain::SlotFor tested `out > 0`, so that gone worker was never forgotten. Ruled out: an open attempt (all three ended, the job table is empty). Lines: src/bookkeeping.cpp SlotFor's test of w.out and w.memory_out; src/policy/attempts.cpp clamps the subtraction at 0 from below only. Change: under 1e-6 (a job holds 1e-3 slots at least) counts as nothing out. Test AWorkerIsForgottenThoughItsFractionalSlotsLeftARoundingResidue fails before, passes after.

--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -55,6 +55,7 @@
 // place to the next new one. Else every name that a list ever carried stays, and each list and
 // peer report costs more the longer the node runs while workers are replaced under new names.
 constexpr double kForgetS = 300;
+constexpr double kNothingOut = 1e-6;  // below the least slots of a job: a residue of rounding
 
 int Brain::SlotFor(const std::string& name, std::vector<char>* listed) {
   Worker fresh{.name = name, .hash = HashText(name), .limit = mean_limit_};
@@ -69,8 +70,8 @@
   for (std::size_t i = 0; i < workers_.size(); ++i) {
     const Worker& w = workers_[i];
     const int at = static_cast<int>(i);
-    if (w.listed || w.out_by_hand || w.out > 0 || w.memory_out > 0 || now_ - w.seen_at < kForgetS ||
-        named(at)) {
+    if (w.listed || w.out_by_hand || w.out > kNothingOut || w.memory_out > kNothingOut ||
+        now_ - w.seen_at < kForgetS || named(at)) {
       continue;
     }
     index_.erase(w.name);
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1115,5 +1115,38 @@
   EXPECT_FALSE(std::ranges::any_of(later, [&](const WorkerView& v) { return v.worker == busy; }));
 }
 
+// Slots of a fraction do not add up exactly: what is left of them after all ended is not work out.
+TEST(BrainTest, AWorkerIsForgottenThoughItsFractionalSlotsLeftARoundingResidue) {
+  Balancer balancer(Plain(), 7);
+  Actions actions;
+  double now = 100;
+  balancer.Handle(now, Started{}, &actions);
+  std::vector<Member> members = Fleet(1);
+  balancer.Handle(now, MembersKnown{ListKind::kReplace, &members}, &actions);
+  const std::vector<double> slots{0.1, 0.2, 0.3};  // 0.1 + 0.2 + 0.3 - 0.1 - 0.2 - 0.3 > 0
+  for (std::size_t i = 0; i < slots.size(); ++i) {
+    JobArrived job;
+    const std::string id = "f" + std::to_string(i);
+    job.id = id;
+    job.slots = slots[i];
+    job.expires_s = now + 100;
+    actions.clear();
+    balancer.Handle(now += 0.01, job, &actions);
+    ASSERT_EQ(Only<Send>(actions).size(), 1u) << id;
+  }
+  for (std::size_t i = 0; i < slots.size(); ++i) {
+    AttemptEnded end;
+    const std::string id = "f" + std::to_string(i);
+    end.id = id;
+    end.terminal = true;
+    balancer.Handle(now += 0.01, end, &actions);
+  }
+  members = {{.worker = "fresh"}};
+  balancer.Handle(now += 1, MembersKnown{ListKind::kReplace, &members}, &actions);
+  members.push_back({.worker = "later"});
+  balancer.Handle(now += 400, MembersKnown{ListKind::kReplace, &members}, &actions);
+  for (const WorkerView& v : balancer.Workers()) EXPECT_NE(v.worker, "w0");
+}
+
 }  // namespace
 }  // namespace decksail
