--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -117,6 +117,7 @@
     return all;
   }
 
+  std::vector<WorkerView> Workers() const { return balancer_.Workers(); }
   double now = 100;
   std::map<std::string, std::vector<std::string>> sends;
   std::map<std::string, std::string> ended;
@@ -1072,80 +1073,51 @@
 }
 
 // Workers replaced under new names, as each deploy does: the module must not keep every name that a
-// list ever carried, yet must keep one that still has work of ours out.
+// list ever carried, yet must keep one that still has work of ours out. Slots of a fraction do not
+// add up exactly (0.1 + 0.2 + 0.3 - 0.1 - 0.2 - 0.3 > 0): that residue is no work out.
 TEST(BrainTest, WorkersGoneLongAgoAreForgottenUnlessWorkIsOutThere) {
-  Balancer balancer(Plain(), 7);
-  Actions actions;
-  double now = 100;
-  balancer.Handle(now, Started{}, &actions);
-  std::vector<Member> members = Fleet(4);
-  balancer.Handle(now, MembersKnown{ListKind::kReplace, &members}, &actions);
-  JobArrived job;
-  job.id = "long";
-  job.expires_s = now + 1e6;
-  actions.clear();
-  balancer.Handle(now, job, &actions);
-  const std::vector<Send> sent = Only<Send>(actions);
-  ASSERT_EQ(sent.size(), 1u);
-  const std::string busy = sent[0].worker;
-  for (int i = 0; i < 2000; ++i) {  // one replaced every 10 s, for 20,000 s
-    now += 10;
-    members.erase(members.begin());
-    Member m;
-    m.worker = "n" + std::to_string(i);
-    members.push_back(m);
-    actions.clear();
-    balancer.Handle(now, MembersKnown{ListKind::kReplace, &members}, &actions);
-  }
-  const std::vector<WorkerView> views = balancer.Workers();
-  EXPECT_LE(views.size(), 4u + 300 / 10 + 2);
-  EXPECT_TRUE(std::ranges::any_of(views, [&](const WorkerView& v) { return v.worker == busy; }));
-  for (const Member& m : members) {
-    EXPECT_TRUE(
-        std::ranges::any_of(views, [&](const WorkerView& v) { return v.worker == m.worker; }));
-  }
-  AttemptEnded end;
-  end.id = "long";
-  end.terminal = true;
-  actions.clear();
-  balancer.Handle(now, end, &actions);
-  members.push_back({.worker = "after"});
-  balancer.Handle(now + 400, MembersKnown{ListKind::kReplace, &members}, &actions);
-  const std::vector<WorkerView> later = balancer.Workers();
-  EXPECT_FALSE(std::ranges::any_of(later, [&](const WorkerView& v) { return v.worker == busy; }));
-}
-
-// Slots of a fraction do not add up exactly: what is left of them after all ended is not work out.
-TEST(BrainTest, AWorkerIsForgottenThoughItsFractionalSlotsLeftARoundingResidue) {
-  Balancer balancer(Plain(), 7);
-  Actions actions;
-  double now = 100;
-  balancer.Handle(now, Started{}, &actions);
-  std::vector<Member> members = Fleet(1);
-  balancer.Handle(now, MembersKnown{ListKind::kReplace, &members}, &actions);
-  const std::vector<double> slots{0.1, 0.2, 0.3};  // 0.1 + 0.2 + 0.3 - 0.1 - 0.2 - 0.3 > 0
-  for (std::size_t i = 0; i < slots.size(); ++i) {
-    JobArrived job;
-    const std::string id = "f" + std::to_string(i);
-    job.id = id;
-    job.slots = slots[i];
-    job.expires_s = now + 100;
-    actions.clear();
-    balancer.Handle(now += 0.01, job, &actions);
-    ASSERT_EQ(Only<Send>(actions).size(), 1u) << id;
-  }
-  for (std::size_t i = 0; i < slots.size(); ++i) {
-    AttemptEnded end;
-    const std::string id = "f" + std::to_string(i);
-    end.id = id;
-    end.terminal = true;
-    balancer.Handle(now += 0.01, end, &actions);
+  struct Case {
+    std::vector<double> slots;  // of jobs sent to the first worker
+    bool out_meanwhile;         // they end only after the workers have been replaced
+  };
+  for (const Case& c : {Case{{1.0}, true}, Case{{0.1, 0.2, 0.3}, false}}) {
+    Desk desk(Plain());
+    std::vector<Member> members = Fleet(1);
+    desk.List(members);
+    const auto has = [&](const std::string& name) {
+      const std::vector<WorkerView> views = desk.Workers();
+      return std::ranges::any_of(views, [&](const WorkerView& v) { return v.worker == name; });
+    };
+    const auto end_all = [&] {
+      for (std::size_t i = 0; i < c.slots.size(); ++i) {
+        desk.End("f" + std::to_string(i), 0, Verdict::kServed);
+      }
+    };
+    for (std::size_t i = 0; i < c.slots.size(); ++i) {
+      JobArrived job;
+      const std::string id = "f" + std::to_string(i);
+      job.id = id;
+      job.slots = c.slots[i];
+      job.expires_s = desk.now + 1e6;
+      desk.now += 0.01;
+      ASSERT_EQ(Only<Send>(desk.Do(job)).size(), 1u) << id;
+    }
+    if (!c.out_meanwhile) end_all();
+    for (int i = 0; i < 2000; ++i) {  // one replaced every 10 s, for 20,000 s
+      desk.now += 10;
+      members.erase(members.begin());
+      members.push_back({.worker = "n" + std::to_string(i)});
+      desk.List(members);
+    }
+    EXPECT_LE(desk.Workers().size(), 1u + 300 / 10 + 1 + 1);  // listed, gone within 300 s, busy
+    EXPECT_EQ(has("w0"), c.out_meanwhile);
+    for (const Member& m : members) EXPECT_TRUE(has(m.worker));
+    if (c.out_meanwhile) end_all();
+    desk.now += 400;
+    members.push_back({.worker = "after"});
+    desk.List(members);
+    EXPECT_FALSE(has("w0"));
   }
-  members = {{.worker = "fresh"}};
-  balancer.Handle(now += 1, MembersKnown{ListKind::kReplace, &members}, &actions);
-  members.push_back({.worker = "later"});
-  balancer.Handle(now += 400, MembersKnown{ListKind::kReplace, &members}, &actions);
-  for (const WorkerView& v : balancer.Workers()) EXPECT_NE(v.worker, "w0");
 }
 
 }  // namespace
