Planner forgets a gone next hop when the module does, not by a clock of its own

Need: the planner forgot next hops by its own 300 s rule beside the module's, a second decision of the same thing (and a second constant) in core. Change: after the module takes a full list, Planner::ForgetWhatTheModuleForgot erases next hops that are gone, not local, not out by hand and no longer among the module's Workers(); the desk passes Workers() on. The ledger's own check of open attempts and kForgetS in planner.cpp go.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 constexpr std::size_t kMostEndedIds = 4096;  // names remembered after their envelope's end
-constexpr double kForgetS = 300;             // a next hop gone this long is forgotten
 }  // namespace
 
 bool Planner::Entry::MayHaveRun() const {
@@ -243,35 +242,36 @@
 void Planner::ListKnown(ListKind kind, const std::vector<Member>& members) {
   std::vector<Member> list = members;
   if (kind == ListKind::kReplace || kind == ListKind::kRestored) {
-    // A full list replaces: who is missing is gone. Next hops of our own are not on the list. One
-    // gone for long, with nothing out there and not out by hand, is forgotten, as the module
-    // forgets it: else each name ever listed stays, and each full list costs more.
-    std::unordered_set<std::string_view> listed, busy;
+    // A full list replaces: who is missing is gone. Next hops of our own are not on the list.
+    std::unordered_set<std::string_view> listed;
     for (const Member& m : members) listed.insert(m.worker);
-    for (const auto& [id, entry] : ledger_) {
-      for (const Attempt& a : entry.attempts) {
-        if (a.open) busy.insert(a.next_hop);
-      }
-    }
-    const double now = hooks_.now();
-    for (auto it = next_hops_.begin(); it != next_hops_.end();) {
-      NextHop& hop = it->second;
+    for (auto& [name, hop] : next_hops_) {
       if (hop.local) {
         list.push_back(hop.member);
-      } else if (!listed.contains(it->first)) {
+      } else if (!listed.contains(name)) {
         hop.member.readiness = Readiness::kGone;
-        if (hop.drain_told_at < 0) hop.drain_told_at = now;
-        if (hop.out_since < 0 && now - hop.drain_told_at > kForgetS && !busy.contains(it->first)) {
-          it = next_hops_.erase(it);
-          continue;
-        }
+        if (hop.drain_told_at < 0) hop.drain_told_at = hooks_.now();
       }
-      ++it;
     }
   }
   for (const Member& m : members) Note(m, false, 0);
   Post([this, kind, list = std::move(list)] {
     Deliver(decksail::MembersKnown{kind, kind == ListKind::kUnavailable ? nullptr : &list});
+    if (kind == ListKind::kReplace) ForgetWhatTheModuleForgot();
+  });
+}
+
+// The module alone says when a gone worker is forgotten (long off the lists, nothing of ours
+// there); the ledger follows it, or each name ever listed would stay. One out by hand stays, so
+// that a call back still finds it.
+void Planner::ForgetWhatTheModuleForgot() {
+  std::unordered_set<std::string_view> known;
+  const std::vector<decksail::WorkerView> views = balancer_.Workers();
+  for (const decksail::WorkerView& v : views) known.insert(v.worker);
+  std::erase_if(next_hops_, [&](const auto& entry) {
+    const NextHop& hop = entry.second;
+    return !hop.local && hop.out_since < 0 && hop.member.readiness == Readiness::kGone &&
+           !known.contains(entry.first);
   });
 }
 
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -142,6 +142,7 @@
   void Forget(EnvelopeId id);
   void Note(const decksail::Member& member, bool local, std::uint64_t forwarder);
   void RememberId(std::string wire_id);
+  void ForgetWhatTheModuleForgot();
 
   decksail::Settings settings_;
   scheduling::Desk balancer_;  // the module, with the scheduler before it
--- a/src/scheduling/desk.h
+++ b/src/scheduling/desk.h
@@ -26,6 +26,7 @@
 
   void Handle(double now_s, const decksail::Event& event, decksail::Actions* actions);
   bool Avoids(std::string_view worker) const { return balancer_.Avoids(worker); }
+  std::vector<decksail::WorkerView> Workers() const { return balancer_.Workers(); }
   std::string Learned() const { return balancer_.Learned(); }
   bool Learn(std::string_view text, const std::vector<int>& classes) {
     return balancer_.Learn(text, classes);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -151,8 +151,8 @@
   EXPECT_LE(w.port.answers[0].retry_after_s, w.config.settings.max_retry_after_s);
 }
 
-// Next hops replaced under new names, as each deploy does: the planner keeps the one with an
-// envelope out and the one out by hand, and forgets the others that are long gone.
+// Next hops replaced under new names, as each deploy does: the planner forgets with the module, and
+// keeps the one with an envelope out and the one out by hand.
 TEST(Planner, ForgetsNextHopsGoneLongAgoButNotOneInUseOrOutByHand) {
   World w;
   const EnvelopeId id = w.Take(0, 1e6);
@@ -180,6 +180,7 @@
   EXPECT_TRUE(has(by_hand));
   w.planner->Ended(id, 0, {.verdict = Verdict::kServed});
   w.now += 10;
+  list.push_back({.worker = "127.0.2.1:1000"});  // a new one takes the place that the module frees
   w.planner->ListKnown(decksail::ListKind::kReplace, list);
   const std::vector<Planner::Known> after = w.planner->Knowledge();
   EXPECT_FALSE(std::any_of(after.begin(), after.end(),
