Work-Hint is read in microseconds, and one that can't be read is left out

Fault: src/net/http/sender_front.cpp read Work-Hint with Digits straight into size_hint_s, in seconds: every hint a million times too long. Its result was ignored too, so from_chars' half-read '12abc' stood as 12, and nan, inf and negative numbers came through where Request-Info's figures are checked.

Change: microseconds over 1e6; finite, above 0 and within the longest timeout, or no hint at all: an unreadable guess says nothing, and the request stands. Test: AWorkHintIsReadInMicrosecondsAndAnUnreadableOneIsLeftOut, nine values; the old line fails it (250000 for 0.25).

--- a/src/net/http/sender_front.cpp
+++ b/src/net/http/sender_front.cpp
@@ -141,7 +141,14 @@
     });
   }
   if (const std::string* retry = head.Get("Client-Retry")) e.retry = *retry == "1";
-  if (const std::string* hint = head.Get("Work-Hint")) Digits(*hint, &e.size_hint_s);
+  // The sender's guess at the work, in microseconds. One that can't be read tells nothing: the
+  // request stands without it, as the guess is optional and its absence harmless.
+  if (const std::string* hint = head.Get("Work-Hint")) {
+    double us = 0;
+    const bool sane =
+        Digits(*hint, &us) && std::isfinite(us) && us > 0 && us <= kMostTimeoutMs * 1e3;
+    e.size_hint_s = sane ? us / 1e6 : 0;
+  }
   if (const std::string* info = head.Get("Request-Info")) {
     Pairs(*info, ',', [&e](std::string_view name, std::string_view value) {
       double number = 0;
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -58,6 +58,27 @@
   EXPECT_TRUE(parser.done());
 }
 
+// The platform's Work-Hint is in microseconds; it was read as seconds, a million times too long.
+TEST(HttpParser, AWorkHintIsReadInMicrosecondsAndAnUnreadableOneIsLeftOut) {
+  const http::Names names{.classes = {"job"}, .tenants = {}, .keyed = {false}};
+  const std::pair<std::string_view, double> kHints[] = {
+      {"250000", 0.25}, {"1500.5", 0.0015005}, {"0", 0},   {"-3", 0},
+      {"nan", 0},       {"inf", 0},            {"12abc", 0}, {"", 0},
+      {"99999999999999", 0}};
+  for (const auto& [text, seconds] : kHints) {
+    http::Head head{.method = "POST", .target = "/api"};
+    head.headers = {{"Request-Id", "r1"},
+                    {"Request-Class", "job"},
+                    {"Request-Timeout-Ms", "500"},
+                    {"Work-Hint", std::string(text)}};
+    Held held;
+    double timeout_s = 0;
+    std::string why;
+    EXPECT_EQ(http::ReadEnvelope(head, names, &held, &timeout_s, &why), 0) << text << ": " << why;
+    EXPECT_DOUBLE_EQ(held.envelope.size_hint_s, seconds) << text;
+  }
+}
+
 TEST(HttpParser, NamesTheFault) {
   const auto error = [](const std::string& text, http::Parser::Side side = kAsk) {
     http::Parser parser(side, {});
