While the fleet is full, a first try that must queue and end late is refused unsent

Fault: Brain::Place (src/policy/attempts.cpp) sent a first try to the best worker however long it would wait there. Now, while full_, a first try that must queue at the best worker (Outlook's over) and would end after its aim there is refused unsent and counted as a 'full', as the large tier's probed path already did. A worker with a free slot that is merely slow still gets it.

--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -42,15 +42,22 @@
   job.found = -1;
   if (index < 0) return waits && PutOnHold(job);
   Worker& w = workers_[Idx(index)];
+  const auto [time, over] = Outlook(job, w);
+  // Exception: while the fleet is full, a first try that must wait and end late even at the best
+  // worker makes the queue deeper for all behind it. Refused unsent, it may find room on return.
+  if (full_ && job.attempts.empty() && over && !waits && time > AimOf(job)) {
+    fulls_ += 1;
+    return false;
+  }
   if (Cold(w)) {
     w.cold_tokens = std::min(1.0, ColdHeld(w) - ColdCost(job));
     w.cold_at = now_;
   }
   // The best of those asked can't end it in time: no worker need tell of a late start.
   const bool told =
-      !job.asked.empty() && job.attempts.empty() && now_ - w.report_at < kReportTrustS;
-  const auto [time, over] = told ? Outlook(job, w) : std::pair{0.0, true};
+      now_ - w.report_at < kReportTrustS && !job.asked.empty() && job.attempts.empty();
   job.attempts.push_back({.worker = index, .sent_at = now_, .out_before = w.out, .roomy = !over});
+  job.attempts.back().roomy &= told;
   job.attempts.back().warm = w.Sent(job.slots, job.memory, job.key);
   if (told && time > AimOf(job)) Blocked(job, job.attempts.back(), false, true);
   sends_ += job.attempts.size() == 1;
@@ -68,11 +75,9 @@
 bool Brain::PutOnHold(Job& job) {
   job.on_hold = true;
   actions_->push_back(Hold{job.id});
-  if (!job.hold_watched) {
-    const double last = job.expires_at - kLastWordS;
-    WatchAt(std::min(now_ + ClassOf(job.cls).aim_s, last), job.id, kOnHold);
+  if (!std::exchange(job.hold_watched, true)) {
+    WatchAt(std::min(now_ + ClassOf(job.cls).aim_s, job.expires_at - kLastWordS), job.id, kOnHold);
   }
-  job.hold_watched = true;
   return false;
 }
 
@@ -123,9 +128,8 @@
   a->open = false;
   w.Back(job->slots, job->memory);
   if (e.has_report) TakeReport(w, e.report);
-  const bool never_ran = e.verdict == Verdict::kTurnedAway || e.verdict == Verdict::kNoConnection ||
-                         e.verdict == Verdict::kNotSent;
-  a->may_have_run = !never_ran;
+  a->may_have_run = e.verdict != Verdict::kTurnedAway && e.verdict != Verdict::kNoConnection &&
+                    e.verdict != Verdict::kNotSent;
   switch (e.verdict) {
     case Verdict::kServed:
       w.heard_at = now_;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,6 +1,7 @@
 // Which worker a job goes to.
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "brain.h"
 
@@ -154,18 +155,14 @@
   const int kind = ClassOf(job.cls).kind;
   const std::vector<int>& all = Pool(kind, -1);
   const std::vector<int>& near = Pool(kind, s_.zone);
-  int best = -1;
+  int best = -1, looked = 0;
   double best_score = kInf;
-  int looked = 0;
   const auto look = [&](int w, int rank) {
     if (!Allowed(job, w, anchor)) return;
     if (room_keeper_ && anchor < 0 && !room_keeper_->Takes(job.id, workers_[Idx(w)].name)) return;
     ++looked;
     const double score = Score(job, workers_[Idx(w)], rank);
-    if (score < best_score) {
-      best = w;
-      best_score = score;
-    }
+    if (score < best_score) std::tie(best, best_score) = std::pair(w, score);
   };
   if (job.found >= 0) look(job.found, kNoHome);
   for (const int w : job.asked) look(w, kNoHome);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -266,5 +266,48 @@
   EXPECT_FALSE(told(hears, 106, decksail::PeerMessage{1, good}).empty());  // it asks, having none yet
 }
 
+// Workers that queue deeply never say 'full', and a shared slowness left the fleet able to do less
+// than half the told quotas, under which the rate is never cut: every job waited behind seconds of
+// work and all were late. While the fleet is full a first try that must wait past its aim at the
+// best worker is refused unsent, and what is served is in time.
+TEST(Fleet, DeepQueuesAreNotFilledWithWorkThatCanOnlyBeLate) {
+  struct Case {
+    double rate, pace;  // jobs a second; the workers do 80 at pace 1
+    double least_in_time;  // of the served
+    double least_refused, most_refused;
+  };
+  for (const Case c : {Case{100, 2, 0.44, 0.4, 0.75}, Case{50, 1, 0.97, 0, 0.01}}) {
+    decksail::Settings s;
+    s.classes.resize(1);
+    s.classes[0] = {.aim_s = 0.4, .stretch = 2, .give_up_s = 6};
+    s.tenants = {{.share = 1, .quota_rps = 100}};
+    KeepPlatformRules(&s);
+    Floor floor(4, s, {});
+    for (int w = 0; w < 8; ++w) floor.AddWorker({3, 100}, 30, true, 0, c.pace);
+    floor.now = 100;
+    floor.Start();
+    std::mt19937_64 random(4);
+    std::exponential_distribution<double> run(1 / 0.3), gap(c.rate);
+    std::uniform_int_distribution<std::size_t> node(0, 3);
+    while (floor.now < 130) {
+      floor.Run(floor.now + gap(random));
+      floor.Ask(node(random), 0, {1, 1}, run(random), 6);
+    }
+    floor.Run(140);
+    EXPECT_TRUE(floor.faults.empty());
+    double asked = 0, refused = 0, served = 0, in_time = 0;
+    for (const auto& [id, a] : floor.asked) {
+      if (a.at < 110) continue;  // after the first cuts
+      asked += 1;
+      refused += a.refused;
+      served += a.served;
+      in_time += a.served && a.took_s <= 0.4 + 2 * a.run_s;
+    }
+    EXPECT_GE(in_time / served, c.least_in_time) << c.rate;
+    EXPECT_GE(refused / asked, c.least_refused) << c.rate;
+    EXPECT_LE(refused / asked, c.most_refused) << c.rate;
+  }
+}
+
 }  // namespace
 }  // namespace millethollow
