The load report in the line that ends an attempt reaches the planner at last

Fault: src/net/http/next_hop_pool.cpp. ReadJobLine dropped the line's "load", and Line() reported the outcome without a report; a Server-Load in a 200 answer's head was read only in Complete(), after the line had already ended the attempt.

Change: JobLine keeps the line's load object; Line() reads it, and the head's Server-Load, into the outcome of every line that ends an attempt. Test: NextHop.TheLoadReportThatEndsAnAttemptReachesThePlanner, a real pool and a toy worker: a report in a done line, in a returned line, in the head, none, unreadable. The old pool fails it (no report, 0 for 2 and 3).

--- a/src/net/http/next_hop_pool.cpp
+++ b/src/net/http/next_hop_pool.cpp
@@ -67,6 +67,9 @@
   }
   const auto state = object.find("state");
   if (state == object.end() || !state->is_string()) return read;
+  if (const auto load = object.find("load"); load != object.end() && load->is_object()) {
+    read.load = load->dump();
+  }
   const std::string& name = state->get_ref<const std::string&>();
   using What = JobLine::What;
   if (name == "done") {
@@ -223,21 +226,19 @@
     if (text.find_first_not_of(" \r\t") == std::string_view::npos) return;
     const JobLine line = ReadJobLine(text, wire_id_);
     using What = JobLine::What;
-    switch (line.what) {
-      case What::kStarted:
-        return pool_->forwarder_->AttemptBegan(id_, attempt_);
-      case What::kRunning:
-        return;
-      case What::kServed:
-        return Report({.verdict = Verdict::kServed}, line.result);
-      case What::kTurnedAway:
-        return Report({.verdict = Verdict::kTurnedAway});
-      case What::kLost:
-        return Report({.verdict = Verdict::kConnectionLost});
-      case What::kError:
-      case What::kNonsense:
-        return Report({.verdict = Verdict::kServerError});
+    if (line.what == What::kStarted) return pool_->forwarder_->AttemptBegan(id_, attempt_);
+    if (line.what == What::kRunning) return;
+    Outcome outcome{.verdict = line.what == What::kServed       ? Verdict::kServed
+                               : line.what == What::kTurnedAway ? Verdict::kTurnedAway
+                               : line.what == What::kLost       ? Verdict::kConnectionLost
+                                                                : Verdict::kServerError};
+    // The load that comes with the end of an attempt: in the line, or in the answer's head. This
+    // line ends the attempt before the answer does, so the head is read here too.
+    if (const std::string* load = parser_.head().Get("Server-Load")) {
+      ReadReport(*load, pool_->options_.columns, &outcome);
     }
+    if (!line.load.empty()) ReadReport(line.load, pool_->options_.columns, &outcome);
+    Report(outcome, line.result);
   }
 
   void Complete() {
--- a/src/net/http/next_hop_pool.h
+++ b/src/net/http/next_hop_pool.h
@@ -87,6 +87,7 @@
   };
   What what = What::kNonsense;
   std::string result;
+  std::string load;  // the load report that the line carries, as JSON; empty: none
 };
 JobLine ReadJobLine(std::string_view line, std::string_view id);
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,8 +1,10 @@
 // The node on loopback, with the stand-ins of support.h: the HTTP path, then both fronts together.
 #include <gtest/gtest.h>
 
+#include <cstdio>
 #include <random>
 
+#include "net/http/next_hop_pool.h"
 #include "rig.h"
 
 namespace millethollow {
@@ -183,6 +185,70 @@
   EXPECT_LT(rig.host.Now() - began, 1.0);
 }
 
+// The load report of Karachi's workers comes in the object that ends an attempt. It was never read
+// there: the module learned nothing of free slots on real sockets, all day.
+TEST(NextHop, TheLoadReportThatEndsAnAttemptReachesThePlanner) {
+  struct Planner : PlannerLink {
+    std::vector<Outcome> ended;
+    void Taken(const Envelope&) override {}
+    void SenderGone(EnvelopeId) override {}
+    void Began(EnvelopeId, int) override {}
+    void Ended(EnvelopeId, int, const Outcome& outcome) override { ended.push_back(outcome); }
+    void Probed(const std::string&, const Outcome&) override {}
+    void NextHopChanged(const decksail::Member&) override {}
+  };
+  struct Sender : SenderSide {
+    void Answer(const Held&, const FinalAnswer&, const std::string&) override {}
+  };
+  struct Case {
+    std::string state, load, head;  // the last line's state and load, the answer's Server-Load
+    Verdict verdict;
+    bool has_report;
+    double x0, rif;
+  };
+  const Case kCases[] = {
+      {"done", R"({"x0":2,"x1":0.5,"rif":3})", "", Verdict::kServed, true, 2, 3},
+      {"returned", R"({"x0":0,"rif":9})", "", Verdict::kTurnedAway, true, 0, 9},
+      {"done", "", "x0=4,rif=1", Verdict::kServed, true, 4, 1},
+      {"done", "", "", Verdict::kServed, false, 0, 0},
+      {"failed", R"({"x0":"many"})", "", Verdict::kServerError, false, 0, 0}};
+  for (const Case& c : kCases) {
+    LogLevel() = Level::kError;
+    Loop loop;
+    ToyWorker worker(&loop);
+    worker.act = [&c](const ToyWorker::Got& g) {
+      std::string last = ToyWorker::Line(g, c.state);
+      std::string more = R"(,"result":"r")";
+      if (!c.load.empty()) more += R"(,"load":)" + c.load;
+      last.insert(last.size() - 1, more);
+      std::string out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+      if (!c.head.empty()) out += "Server-Load: " + c.head + "\r\n";
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", last.size() + 1);
+      g.from->Write(out + "\r\n" + size + last + "\n\r\n0\r\n\r\n");
+    };
+    Forwarder forwarder(&loop);
+    Planner planner;
+    forwarder.SetLink(&planner, 1);
+    http::NextHopPool pool(&forwarder, {.columns = {"x0", "x1", "rif"}});
+    forwarder.AddDriver(&pool);
+    pool.SetAddress("w", worker.address());
+    Held held;
+    held.envelope.wire_id = "a1";
+    held.envelope.expires_at = loop.Now() + 5;
+    held.target = "/api";
+    Sender sender;
+    const EnvelopeId id = forwarder.Take(held, &sender);
+    forwarder.Send(id, 0, "w");
+    ASSERT_TRUE(TurnUntil(loop, [&] { return !planner.ended.empty(); })) << c.state;
+    const Outcome& o = planner.ended[0];
+    EXPECT_EQ(o.verdict, c.verdict) << c.state << c.load << c.head;
+    EXPECT_EQ(o.has_report, c.has_report) << c.state << c.load << c.head;
+    EXPECT_EQ(o.report[0], c.x0) << c.state << c.load << c.head;
+    EXPECT_EQ(o.report[2], c.rif) << c.state << c.load << c.head;
+  }
+}
+
 // A worker's nonsense, another's answer, or a broken line is an error, never an answer.
 TEST(HttpFront, ServesNothingThatNoWorkerMadeForIt) {
   for (const std::string line : {R"({"id":"zz","state":"done","result":"x"})", "}{", "[1]"}) {
