Large tiers take others at a worker to do as this node does; reports tell kinds' slots

Faults: - src/policy/discovery.cpp: peers of a large tier tell no slots out per worker, so others stayed 0 and every node took a key's home for as empty as its own sends said. Where a slot is free nothing waits, so free plus held is what it holds (Worker::SlotsTold).

Tests: InALargeTierOthersAtAWorkerAreTakenToDoAsThisOne (30 nodes: about 29 slots guessed where one is out; 4 nodes: none), AReportWithASlotFreeTellsAllThatAWorker Holds (four reports). The old module fails both.

--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -58,7 +58,7 @@
       now_ - w.report_at < kReportTrustS && !job.asked.empty() && job.attempts.empty();
   job.attempts.push_back({.worker = index, .sent_at = now_, .out_before = w.out, .roomy = !over});
   job.attempts.back().roomy &= told;
-  job.attempts.back().warm = w.Sent(job.slots, job.memory, job.key);
+  job.attempts.back().warm = w.Sent(job.slots, job.memory, job.key, now_);
   if (told && time > AimOf(job)) Blocked(job, job.attempts.back(), false, true);
   sends_ += job.attempts.size() == 1;
   hedges_ = std::min(3.0, hedges_ + copies_);
@@ -83,8 +83,7 @@
 
 void Brain::On(const RoomFound& e) {
   const auto it = jobs_.find(e.id);
-  if (it == jobs_.end() || !it->second.on_hold) return;
-  it->second.on_hold = false;
+  if (it == jobs_.end() || !std::exchange(it->second.on_hold, false)) return;
   if (!e.worker.empty()) {
     it->second.found = index_.find(e.worker)->second;
     Place(it->second);
@@ -126,7 +125,7 @@
   if (a == nullptr || !a->open) return;  // a repeat, or forgotten
   Worker& w = workers_[Idx(a->worker)];
   a->open = false;
-  w.Back(job->slots, job->memory);
+  w.Back(job->slots, job->memory, now_);
   if (e.has_report) TakeReport(w, e.report);
   a->may_have_run = e.verdict != Verdict::kTurnedAway && e.verdict != Verdict::kNoConnection &&
                     e.verdict != Verdict::kNotSent;
--- a/src/policy/discovery.cpp
+++ b/src/policy/discovery.cpp
@@ -31,6 +31,9 @@
     LetBack();
     if (!direct_) Weigh();
     SumOthers();
+    // Peers of a large tier don't tell what they have out where; they do as this one does.
+    for (Worker& w : workers_)
+      w.others = direct_ ? w.others : (s_.dispatchers - 1) * w.MeanOut(now_);
     for (double& room : room_) room += (1 - room) * kGroupFade * interval_ / kReportS;
     if (now_ - reported_at_ > interval_ / 4) Report();
     // Jitter keeps dispatchers that started together from reporting in step.
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -69,10 +69,9 @@
   for (Worker& w : workers_) {
     if (!w.ejected || now_ < w.eject_until) continue;
     w.ejected = false;
-    w.probation = true;
+    w.probation = changed = true;
     w.limit = 1;
     w.errors = 0;
-    changed = true;
   }
   if (changed) RemakePools();
 }
@@ -86,7 +85,7 @@
   // A kind holds what two workers agree on: one that is wrong must not make it bottomless.
   double& slots = kind_slots_[Idx(w.kind)];
   auto& [most, who] = kind_most_[Idx(w.kind)];
-  const double told = std::round(w.free);
+  const double told = w.SlotsTold();
   if (who != &w - workers_.data()) slots = std::max(slots, std::min(most, told));
   if (told > most) std::tie(most, who) = std::pair(told, &w - workers_.data());
   const double busy = slots - w.free;
@@ -133,8 +132,7 @@
   Worker& w = workers_[Idx(a.worker)];
   if (!a.blocked) w.limit = std::max(1.0, (w.limit + a.out_before) / 2);
   a.blocked = true;
-  const double slots = SlotsOf(w);
-  const bool holds = slots == 0 || job.slots <= slots;
+  const bool holds = SlotsOf(w) == 0 || job.slots <= SlotsOf(w);
   if (!w.ready || w.probation || Cold(w) || !holds) return;
   if (full && ++job.fulls <= 2) fulls_ += blind_ ? job.fulls - 1 : 0.5;
   if (late && !job.late) lates_ += 1;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -59,8 +59,10 @@
   const double slots = SlotsOf(w);
   bool over = silent;
   if (slots > 0) {  // what all dispatchers have out there, against what its kind can hold
-    double need = w.out + w.others + job.slots;
-    if (job.memory > 0) need = std::max(need, w.memory_out + w.others * memory_.Or(0) + job.memory);
+    // A report just in counts what all have out there; a large tier's others are but a guess.
+    const double others = direct_ || now_ - w.report_at > kReportTrustS ? w.others : 0;
+    double need = w.out + others + job.slots;
+    if (job.memory > 0) need = std::max(need, w.memory_out + others * memory_.Or(0) + job.memory);
     wait = std::max(0.0, need - slots) / slots * all_run_.Or(run) * PaceOf(w);
     over |= need > slots;
   } else {
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -22,8 +22,7 @@
   job.most_tries = s_.most_tries;
   memory_.Add(job.memory / job.slots, 200);
   Bucket& bucket = buckets_[BucketOf(job)];
-  if (!bucket.known) {
-    bucket.known = true;
+  if (!std::exchange(bucket.known, true)) {
     bucket.tokens = Depth(bucket);
     bucket.at = now_;
     if (now_ - reported_at_ > interval_ / 2) Report();  // a new bucket reports at once
--- a/src/state.h
+++ b/src/state.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -41,10 +42,12 @@
   // Cold budget. Put back by hand, it is as cold as after a start, which the list may tell late.
   double cold_tokens = 0, cold_at = 0, back_at = 0;
   std::uint64_t keys[2] = {0, 0};  // the last keys this dispatcher sent there
+  double out_area = 0, out_at = 0, area_since = 0;  // own slots out over time, since area_since
 
   bool Warm(std::uint64_t key) const { return key != 0 && (keys[0] == key || keys[1] == key); }
   // Own sends and their ends. Says whether the key was among the last sent there; from now on it is.
-  bool Sent(double slots, double mem, std::uint64_t key) {
+  bool Sent(double slots, double mem, std::uint64_t key, double now) {
+    Mark(now);
     out += slots;
     memory_out += mem;
     sent_since += slots;
@@ -52,10 +55,23 @@
     if (keys[0] != key) keys[1] = std::exchange(keys[0], key);
     return warm;
   }
-  void Back(double slots, double mem) {
+  void Back(double slots, double mem, double now) {
+    Mark(now);
     out = std::max(0.0, out - slots);
     memory_out = std::max(0.0, memory_out - mem);
   }
+  void Mark(double now) {
+    out_area += out * std::max(0.0, now - out_at);
+    out_at = now;
+  }
+  // Own slots out on average since the last call.
+  double MeanOut(double now) {
+    Mark(now);
+    const double mean = now > area_since ? out_area / (now - area_since) : out;
+    out_area = 0;
+    area_since = now;
+    return mean;
+  }
 
   template <typename Visitor>
   void Visit(Visitor& v) {  // what a process hands to the one that replaces it
@@ -76,6 +92,9 @@
     ready = listed && !out_by_hand;
   }
 
+  // What a report says it holds at once: where a slot is free nothing waits, so all it holds runs.
+  double SlotsTold() const { return std::round(free + (free >= 1 && held > 0 ? held : 0)); }
+
   void TakeReport(double now, const std::vector<Column>& columns, const double (&values)[4]) {
     report_at = now;
     sent_since = 0;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -8,10 +8,12 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "decksail/balancer.h"
-#include "../src/support.h"  // the module's helpers, not the tests' own support.h
+#include "../src/state.h"    // the module's state and helpers, not the tests' own support.h
+#include "../src/support.h"
 
 namespace decksail {
 namespace {
@@ -1206,5 +1208,44 @@
   }
 }
 
+// Peers of a large tier don't say what they have out at each worker, so every node took a worker
+// for as empty as its own slots out there said: all sent to the same homes of keys, and jobs waited
+// behind one another while other workers had room. Now the others are taken to do as this one does.
+TEST(BrainTest, InALargeTierOthersAtAWorkerAreTakenToDoAsThisOne) {
+  for (const auto& [dispatchers, least, most] : {std::tuple{30, 20.0, 30.0}, {4, 0.0, 0.0}}) {
+    Settings s = Plain();
+    s.dispatchers = dispatchers;
+    s.peers = true;
+    Desk desk(s);
+    std::vector<Member> fleet = Fleet(2);
+    for (Member& m : fleet) m.slots = 3;
+    desk.List(fleet);
+    desk.Job("a", 0, 0, 30);
+    desk.Note("a", 0);  // it runs, and goes on running
+    desk.Pass(4);
+    const std::string& at = desk.sends["a"][0];
+    for (const WorkerView& v : desk.Workers()) {
+      const bool there = v.worker == at;
+      EXPECT_GE(v.others, there ? least : 0.0) << dispatchers << " " << v.worker;
+      EXPECT_LE(v.others, there ? most : 0.0) << dispatchers << " " << v.worker;
+    }
+  }
+}
+
+// A report of free slots said little of what a worker holds, for a worker that is seldom idle: the
+// kind of five slots was held to have none all day. Where a slot is free nothing waits, so all
+// that it holds runs, and free and held together are its slots.
+TEST(BrainTest, AReportWithASlotFreeTellsAllThatAWorkerHolds) {
+  struct Case {
+    double free, held, told;
+  };
+  for (const Case c : {Case{2, 3, 5}, Case{0, 7, 0}, Case{1.2, -1, 1}, Case{3, 0, 3}}) {
+    Worker w;
+    w.free = c.free;
+    w.held = c.held;
+    EXPECT_EQ(w.SlotsTold(), c.told) << c.free << " " << c.held;
+  }
+}
+
 }  // namespace
 }  // namespace decksail
