Membership decides: SWIM with Lifeguard, a register of views, leases by ballots

Change: Detector (probe, indirect probe, suspicion, refutation, own slowness, digests that find lost news), Voter (promises, minds by which an emptied folder is known), Leader (views one by one, leases that a majority confirmed after they were asked for), Agreement and Cluster that join them.

--- /dev/null
+++ b/src/membership/cluster.h
@@ -0,0 +1,82 @@
+// What one member knows and decides: the detector and the agreement together, and which process of
+// a member is listened to. Decides only; the process and the tests run this same class.
+#ifndef MILLETHOLLOW_MEMBERSHIP_CLUSTER_H_
+#define MILLETHOLLOW_MEMBERSHIP_CLUSTER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "membership/agreement.h"
+#include "membership/detector.h"
+
+namespace millethollow::membership {
+
+using Frame = std::variant<Probe, Message>;
+
+class Cluster {
+ public:
+  struct MemberOptions {
+    NodeId id = 0;
+    std::string place;
+    bool voter = false;
+  };
+  struct Options {
+    NodeId self = 0;
+    Life life = 0;
+    std::vector<MemberOptions> members;  // this one among them
+    DetectorTimings detector;
+    AgreementTimings agreement;
+    // Of one Nth that each member has while it is cut off, and that is kept back for it: 0 to 1.
+    double cut_off_part = 0.5;
+  };
+  struct Actions {
+    std::vector<std::pair<NodeId, Frame>> send;
+    std::vector<Change> changes;
+    bool write = false;  // votes(), then Stored(ticket) or StoreFailed()
+    std::uint64_t ticket = 0;
+    bool new_view = false, yield = false;
+    // To where the frame came from, whatever address its sender has in the list.
+    std::optional<Message> answer = std::nullopt;
+  };
+
+  // The clock of `now` is one of this machine that counts pauses and never runs back, in seconds.
+  Cluster(const Options& options, Votes votes, std::uint64_t seed, double now);
+
+  void Hear(double now, NodeId from, Life life, const Frame& frame, Actions* actions);
+  void Tick(double now, Actions* actions);
+  void Stored(double now, std::uint64_t ticket, Actions* actions);
+  void StoreFailed() { agreement_.StoreFailed(); }
+  void Leave(double now, Actions* actions);
+  double NextAt() const;
+
+  // This member's part of what the whole cluster may do, 0 to 1. Over all members, whatever is cut,
+  // the parts never come to more than 1.
+  double Part(double now) const;
+  const Detector& detector() const { return detector_; }
+  const Agreement& agreement() const { return agreement_; }
+  const Options& options() const { return options_; }
+
+ private:
+  struct Heard {
+    Life life = 0;
+    double at = 0;
+    // Another that speaks under the same id and is not listened to.
+    Life rival = 0;
+    double rival_since = 0;
+  };
+  bool Listens(double now, NodeId from, Life life);
+  void Take(Detector::Actions* from, Actions* to);
+  void Take(Agreement::Actions* from, Actions* to);
+
+  Options options_;
+  Detector detector_;
+  Agreement agreement_;
+  std::map<NodeId, Heard> heard_;
+};
+
+}  // namespace millethollow::membership
+
+#endif  // MILLETHOLLOW_MEMBERSHIP_CLUSTER_H_
--- /dev/null
+++ b/src/membership/message.h
@@ -0,0 +1,61 @@
+// What members say to each other to agree. Any message may be lost, doubled, late or out of order.
+#ifndef MILLETHOLLOW_MEMBERSHIP_MESSAGE_H_
+#define MILLETHOLLOW_MEMBERSHIP_MESSAGE_H_
+
+#include <utility>
+#include <vector>
+
+#include "membership/types.h"
+
+namespace millethollow::membership {
+
+using Minds = std::vector<std::pair<NodeId, Mind>>;  // by rising id
+
+struct Message {
+  enum class Kind : std::uint8_t {
+    // A voter that starts: what do you know of my mind? Then: note that it is this from now on.
+    kWho,      // number: nonce; count: own writes
+    kKnown,    // number: nonce; minds; count: the writes that I saw; yes: I never promised anything
+    kClaim,    // mind
+    kClaimed,  // mind, and ballot, accepted_by, view as in a promise
+    // Votes.
+    kMiss,      // do you miss the leader?  number: of the question
+    kMissed,    // number; yes
+    kPrepare,   // ballot
+    kPromise,   // ballot, accepted_by, view
+    kPropose,   // ballot, view, quorum
+    kAccepted,  // ballot, number: epoch
+    kRefused,   // ballot: the higher one
+    kBeat,      // ballot, number: of the beat, quorum
+    kBeaten,    // ballot, number
+    // To and from any member.
+    kDecided,    // view
+    kRenew,      // number: epoch known; asked_at; life; origin, by a voter that passes it on
+    kGrant,      // number: epoch; asked_at; span
+    kElsewhere,  // ballot: of the leader, as far as known
+    kTaken,      // life: of the other process of the same member; yes: it spoke after this one
+                 // had been there for a while, so both are there
+    kRelease,    // this life needs no lease any more
+  };
+  Kind kind = Kind::kRenew;
+  Ballot ballot, accepted_by;
+  View view;
+  Mind mind;     // of a voter that speaks; number 0: it has none yet
+  Minds minds;   // all that a voter knows, its own among them
+  Minds quorum;  // those whose promise made the leader
+  std::uint64_t number = 0, count = 0;
+  Life life = 0;
+  NodeId origin = 0;    // whose renewal it is, or who is answered, by way of a voter in between
+  double asked_at = 0;  // on the clock of the member that asked; seconds
+  double span = 0;      // of a lease, from asked_at; seconds
+  bool yes = false;
+};
+
+struct Sent {
+  NodeId to = 0;
+  Message message;
+};
+
+}  // namespace millethollow::membership
+
+#endif  // MILLETHOLLOW_MEMBERSHIP_MESSAGE_H_
--- /dev/null
+++ b/src/membership/types.h
@@ -0,0 +1,91 @@
+// What membership speaks of: members, lives, news, views, ballots. No I/O, no clock.
+#ifndef MILLETHOLLOW_MEMBERSHIP_TYPES_H_
+#define MILLETHOLLOW_MEMBERSHIP_TYPES_H_
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace millethollow::membership {
+
+// A hash of the id that the file gives a member: the same at every node. 0 is nobody.
+using NodeId = std::uint64_t;
+// One run of a process. 0 is none.
+using Life = std::uint64_t;
+
+// The generator is seeded by whoever makes it: equal seeds and events give equal decisions, on
+// every platform (the standard library's distributions differ).
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : engine_(seed) {}
+  std::uint64_t Word() { return engine_(); }
+  std::size_t Below(std::size_t n) {
+    return boost::random::uniform_int_distribution<std::size_t>(0, n - 1)(engine_);
+  }
+  double Unit() { return boost::random::uniform_real_distribution<double>(0, 1)(engine_); }
+
+ private:
+  boost::random::mt19937_64 engine_;
+};
+
+// Ordered: of two words with one incarnation the later of these counts.
+enum class Health : std::uint8_t { kAlive, kSuspect, kFailed, kLeft };
+
+// A word about a member. The higher incarnation counts, and within one the worse health.
+struct News {
+  NodeId who = 0;
+  std::uint32_t incarnation = 0;
+  Health health = Health::kAlive;
+  NodeId by = 0;  // who suspects it
+};
+
+struct Change {
+  NodeId who = 0;
+  Health health = Health::kAlive;
+  std::uint32_t incarnation = 0;
+};
+
+// A round of one voter who wants to lead. The higher wins.
+struct Ballot {
+  std::uint64_t round = 0;
+  NodeId who = 0;
+  auto operator<=>(const Ballot&) const = default;
+};
+
+// What a voter remembers on its disk, as opposed to one that lost it: the higher is the later.
+struct Mind {
+  std::uint32_t number = 0;
+  std::uint64_t nonce = 0;
+  auto operator<=>(const Mind&) const = default;
+};
+
+struct ViewMember {
+  NodeId id = 0;
+  Life life = 0;
+  std::string place;
+  std::uint64_t since = 0;  // the epoch in which this life came in
+  bool operator==(const ViewMember&) const = default;
+};
+
+// An epoch and its members, by rising id. Epoch 0 is the time before the first, without members.
+struct View {
+  std::uint64_t epoch = 0;
+  std::vector<ViewMember> members;
+  // When it was proposed nobody acted on a view before this epoch any more.
+  std::uint64_t settled = 0;
+  bool operator==(const View&) const = default;
+  const ViewMember* Find(NodeId id) const {
+    for (const ViewMember& m : members) {
+      if (m.id == id) return &m;
+    }
+    return nullptr;
+  }
+};
+
+}  // namespace millethollow::membership
+
+#endif  // MILLETHOLLOW_MEMBERSHIP_TYPES_H_
--- a/src/net/http/next_hop_pool.cpp
+++ b/src/net/http/next_hop_pool.cpp
@@ -100,7 +100,8 @@
   bool Open(const sockaddr_in& address) {
     limit_ = loop_->deadlines().At(loop_->Now() + pool_->options_.connect_timeout_s, [this] {
       limit_ = Deadlines::kNone;
-      // Connected and written, though the turn ended before libevent could say so: what is out is out.
+      // Connected and written, though the turn ended before libevent could say so: what is out is
+      // out.
       if (busy_ && Drained()) return;
       Break("connect-timeout");
     });
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,232 @@
+// Membership on a virtual clock. SEEDS in the environment plays more days than CI does.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "membership_world.h"
+
+namespace millethollow::membership {
+namespace {
+
+std::uint64_t Seeds(std::uint64_t usual) {
+  const char* more = std::getenv("SEEDS");
+  return more == nullptr ? usual : std::strtoull(more, nullptr, 10);
+}
+
+void StartAll(World* w) {
+  for (std::size_t i = 0; i < w->size(); ++i) w->Start(i);
+}
+
+// A day of faults from a seed: kills, emptied folders, stops, cuts of every form, losses, slow disks.
+// At its end all is healed, and the members must come together again.
+struct Day {
+  explicit Day(std::uint64_t seed, Planted planted = {}, double length_s = 60)
+      : faults(seed * 7919 + 1),
+        world(seed, {.members = 3 + seed % 5,
+                     .voters = 3 + seed % 5 >= 5 && seed % 2 == 0 ? 5UL : 3UL,
+                     .loss = seed % 3 == 0 ? 0.1 : 0.0,
+                     .doubled = 0.02,
+                     .planted = planted}) {
+    voters = 3 + seed % 5 >= 5 && seed % 2 == 0 ? 5 : 3;
+    StartAll(&world);
+    while (world.now() < length_s && world.broken().empty()) {
+      world.RunUntil(world.now() + 2.5 * faults.Unit());
+      Fault();
+    }
+    if (!world.broken().empty()) return;
+    world.Heal();
+    world.SetLoss(0);
+    StartAll(&world);
+    whole = world.RunUntil([this] { return world.Whole(); }, 60);
+  }
+  std::size_t Any() { return faults.Below(world.size()); }
+  bool Remembers(std::size_t i) {  // also after a kill
+    return world.up(i) && world.node(i).cluster->agreement().voter().voting() &&
+           world.node(i).disk.mind == world.node(i).cluster->agreement().votes().mind;
+  }
+  // One voter at most may be without its memory: a majority that lost it can't be made good.
+  void EmptyFolder(std::size_t i) {
+    for (std::size_t v = 0; v < voters; ++v) {
+      if (v != i && !Remembers(v)) return;
+    }
+    world.Kill(i);
+    world.Wipe(i);
+  }
+  void Fault() {
+    switch (faults.Below(12)) {
+      case 0:
+      case 1: return world.Kill(Any());
+      case 2: return EmptyFolder(Any());
+      case 3:
+      case 4: return StartAll(&world);
+      case 5: return world.Pause(Any(), 8 * faults.Unit());
+      case 6: {
+        std::vector<int> group;
+        for (std::size_t i = 0; i < world.size(); ++i) group.push_back(static_cast<int>(faults.Below(3)));
+        return world.Split(group);
+      }
+      case 7: return world.Cut(Any(), Any(), true);
+      case 8: return world.CutBoth(Any(), Any(), true);
+      case 9: return world.SetLoss(faults.Below(2) == 0 ? 0.2 : 0);
+      case 10: world.node(Any()).write_s = faults.Below(2) == 0 ? 0.3 : 0.001; return;
+      default: world.Heal();
+    }
+  }
+  Random faults;
+  std::size_t voters = 3;
+  World world;
+  bool whole = false;
+};
+
+TEST(AgreementDays, KeepEveryPromiseAndComeTogetherAgain) {
+  for (std::uint64_t seed = std::getenv("SEED") ? std::strtoull(std::getenv("SEED"), nullptr, 10) : 1; seed <= Seeds(150); ++seed) {
+    Day day(seed);
+    ASSERT_TRUE(day.world.broken().empty()) << "seed " << seed << " " << day.world.broken()[0] << day.world.Told();
+    ASSERT_TRUE(day.whole) << "seed " << seed << " does not come together" << day.world.Told();
+  }
+}
+
+// The first seed at which a planted fault is found; 0: at none.
+std::uint64_t FoundAt(const Planted& planted, std::uint64_t most) {
+  for (std::uint64_t seed = 1; seed <= most; ++seed) {
+    const Day day(seed, planted);
+    if (day.world.broken().empty()) continue;
+    std::printf("seed %lu finds it: %s\n", seed, day.world.broken()[0].c_str());
+    return seed;
+  }
+  return 0;
+}
+
+TEST(AgreementDays, FindPlantedFaults) {
+  const std::uint64_t vote = FoundAt({.vote_not_kept = true}, 400);
+  const std::uint64_t lease = FoundAt({.lease_by_wall_clock = true}, 100);
+  EXPECT_NE(vote, 0U) << "a vote that is not kept";
+  EXPECT_NE(lease, 0U) << "a lease by a clock that does not count pauses";
+  RecordProperty("vote_not_kept", static_cast<int>(vote));
+  RecordProperty("lease_by_wall_clock", static_cast<int>(lease));
+}
+
+// Members that never stop, on links that lose datagrams: whoever is called failed is called so falsely.
+std::uint64_t FalseFailures(std::uint64_t seed, std::size_t members, double loss, double span_s,
+                            Planted planted = {}) {
+  World w(seed, {.members = members, .voters = 3, .loss = loss, .planted = planted});
+  StartAll(&w);
+  w.RunUntil(span_s);
+  return w.failures_said;
+}
+
+TEST(DetectorDays, OneDatagramInFiveLostFailsNobody) {
+  for (std::uint64_t seed = 1; seed <= Seeds(20); ++seed) {
+    EXPECT_EQ(FalseFailures(seed, 5, 0.2, 60), 0U) << "seed " << seed;
+  }
+}
+
+TEST(DetectorDays, FindARefutationThatIsIgnored) {
+  std::uint64_t seed = 1;
+  while (seed < 100 && FalseFailures(seed, 5, 0.2, 60, {.refutation_ignored = true}) == 0) ++seed;
+  EXPECT_LT(seed, 100U);
+  std::printf("seed %lu finds it\n", seed);
+}
+
+TEST(DetectorDays, BrokenLinksAndShortStopsFailNobody) {
+  for (std::uint64_t seed = 1; seed <= Seeds(20); ++seed) {
+    World w(seed, {.members = 5, .voters = 3});
+    StartAll(&w);
+    w.RunUntil(5);
+    w.CutBoth(0, 1, true);
+    w.Cut(2, 3, true);
+    for (int i = 0; i < 20; ++i) {
+      w.RunUntil(w.now() + 1);
+      w.Pause(4, 0.5);
+    }
+    EXPECT_EQ(w.failures_said, 0U) << "seed " << seed;
+    EXPECT_EQ(w.broken(), std::vector<std::string>{});
+  }
+}
+
+struct Spread {
+  std::vector<double> first, all;  // from the kill to 'failed' at one, and at all others
+  double datagrams = 0, bytes = 0;  // of the detector, a member and second, before the kill
+};
+
+Spread Killed(std::size_t members, double loss, std::uint64_t seeds) {
+  Spread spread;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    World w(seed, {.members = members, .voters = 3, .loss = loss});
+    double at = 0;
+    std::size_t said = 0;
+    w.on_change = [&](std::size_t, const Change& c) {
+      if (c.who != members || c.health != Health::kFailed) return;
+      if (++said == 1) spread.first.push_back(w.now() - at);
+    };
+    StartAll(&w);
+    w.RunUntil(5);
+    std::uint64_t datagrams = 0, bytes = 0;
+    for (std::size_t i = 0; i < members; ++i) {
+      datagrams -= w.node(i).datagrams;
+      bytes -= w.node(i).bytes;
+    }
+    w.RunUntil(10 + w.random().Unit());
+    for (std::size_t i = 0; i < members; ++i) {
+      datagrams += w.node(i).datagrams;
+      bytes += w.node(i).bytes;
+    }
+    const double member_seconds = static_cast<double>(members) * (w.now() - 5);
+    spread.datagrams += static_cast<double>(datagrams) / member_seconds / static_cast<double>(seeds);
+    spread.bytes += static_cast<double>(bytes) / member_seconds / static_cast<double>(seeds);
+    at = w.now();
+    w.Kill(members - 1);
+    const bool all = w.RunUntil([&] {
+      for (std::size_t i = 0; i + 1 < members; ++i) {
+        if (w.HealthAt(i, members - 1) != Health::kFailed) return false;
+      }
+      return true;
+    }, 20);
+    spread.all.push_back(all ? w.now() - at : 20);
+  }
+  std::sort(spread.first.begin(), spread.first.end());
+  std::sort(spread.all.begin(), spread.all.end());
+  return spread;
+}
+
+double At(const std::vector<double>& sorted, double share) {
+  return sorted.empty() ? -1 : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+}
+
+TEST(DetectorDays, AKilledMemberIsFailedAtAllWithinThreeSeconds) {
+  const Spread five = Killed(5, 0.05, Seeds(40));
+  EXPECT_LT(At(five.all, 1), 3.0);
+}
+
+// Figures for docs/design/membership.md: make cluster-figures.
+TEST(DetectorFigures, DISABLED_Print) {
+  for (const std::size_t n : {5UL, 10UL, 100UL, 1000UL}) {
+    const Spread s = Killed(n, 0, n >= 1000 ? 3 : n >= 100 ? 20 : 200);
+    std::printf("%4zu members: kill to failed at one p50 %.2f p99 %.2f s, at all p50 %.2f p99 %.2f s; "
+                "%.1f datagrams, %.0f bytes a member and second\n",
+                n, At(s.first, 0.5), At(s.first, 0.99), At(s.all, 0.5), At(s.all, 0.99), s.datagrams,
+                s.bytes);
+  }
+  for (const double loss : {0.0, 0.05, 0.2}) {
+    std::uint64_t calls = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) calls += FalseFailures(seed, 5, loss, 720);
+    std::printf("loss %.2f: %lu false failures in 4 hours of five members\n", loss, calls);
+  }
+}
+
+TEST(Agreement, AllStartInAnyOrderAndFoundOneView) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    World w(seed, {.members = 5, .voters = 3});
+    std::vector<std::size_t> order{0, 1, 2, 3, 4};
+    for (std::size_t i = 5; i > 1; --i) std::swap(order[i - 1], order[w.random().Below(i)]);
+    for (const std::size_t i : order) {
+      w.RunUntil(w.now() + 2 * w.random().Unit());
+      w.Start(i);
+    }
+    EXPECT_TRUE(w.RunUntil([&] { return w.Whole(); }, 10)) << "seed " << seed;
+    EXPECT_EQ(w.broken(), std::vector<std::string>{});
+  }
+}
+
+}  // namespace
+}  // namespace millethollow::membership
--- /dev/null
+++ b/tests/membership_world.h
@@ -0,0 +1,317 @@
+// Members of a cluster on a virtual clock: the real decisions, a network, disks and clocks that a seed
+// breaks. After every step each promise is checked; a seed always plays the same.
+#ifndef MILLETHOLLOW_TESTS_MEMBERSHIP_WORLD_H_
+#define MILLETHOLLOW_TESTS_MEMBERSHIP_WORLD_H_
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "membership/cluster.h"
+
+namespace millethollow::membership {
+
+// Faults that are built in on purpose: a check that does not find them proves nothing.
+struct Planted {
+  bool vote_not_kept = false;        // the disk says 'written' and forgets a part of it
+  bool lease_by_wall_clock = false;  // a clock that does not count pauses
+  bool refutation_ignored = false;
+};
+
+class World {
+ public:
+  struct Options {
+    std::size_t members = 5, voters = 3;
+    double loss = 0, doubled = 0;
+    double least_delay_s = 0.0002, most_delay_s = 0.003;
+    bool clocks_differ = true;
+    Planted planted = {};
+  };
+  struct Node {
+    Cluster::Options options;
+    std::unique_ptr<Cluster> cluster;  // none: the process is not there
+    Votes disk;
+    double rate = 1, offset = 0, paused_until = -1, write_s = 0.001, written_at = 0;
+    std::uint64_t timer = 0, tasks = 0;
+    std::uint64_t datagrams = 0, bytes = 0;
+    View last;
+  };
+
+  World(std::uint64_t seed, const Options& options) : o_(options), random_(seed) {
+    for (std::size_t i = 0; i < o_.members; ++i) {
+      Node& n = nodes_.emplace_back();
+      for (std::size_t m = 0; m < o_.members; ++m) {
+        n.options.members.push_back({m + 1, "rack-" + std::to_string(m % 3), m < o_.voters});
+      }
+      n.options.self = i + 1;
+      if (o_.clocks_differ) {
+        n.rate = 1 + 0.008 * (random_.Unit() - 0.5);
+        n.offset = 1000 * random_.Unit();
+      }
+    }
+    cut_.assign(o_.members, std::vector<bool>(o_.members, false));
+  }
+
+  Node& node(std::size_t i) { return nodes_[i]; }
+  std::size_t size() const { return nodes_.size(); }
+  double now() const { return now_; }
+  Random& random() { return random_; }
+  void SetLoss(double loss) { o_.loss = loss; }
+  const std::vector<std::string>& broken() const { return broken_; }
+  bool up(std::size_t i) const { return nodes_[i].cluster != nullptr; }
+
+  void Start(std::size_t i) {
+    Node& n = nodes_[i];
+    if (n.cluster) return;
+    n.options.life = random_.Word() | 1;
+    n.tasks += 1;
+    n.paused_until = -1;
+    n.cluster = std::make_unique<Cluster>(n.options, n.disk, random_.Word(), Local(n));
+    Arm(i);
+  }
+  void Kill(std::size_t i) {
+    nodes_[i].cluster.reset();
+    nodes_[i].tasks += 1;  // what was on its way to disk may not arrive
+  }
+  void Wipe(std::size_t i) { nodes_[i].disk = {}; }
+  void Pause(std::size_t i, double s) {
+    nodes_[i].paused_until = now_ + s;
+    if (o_.planted.lease_by_wall_clock) nodes_[i].offset -= s * nodes_[i].rate;
+  }
+  void Cut(std::size_t from, std::size_t to, bool cut) { cut_[from][to] = cut; }
+  void CutBoth(std::size_t a, std::size_t b, bool cut) { cut_[a][b] = cut_[b][a] = cut; }
+  void Heal() {
+    for (auto& row : cut_) row.assign(row.size(), false);
+  }
+  // Members of different groups don't hear each other.
+  void Split(const std::vector<int>& group) {
+    for (std::size_t a = 0; a < size(); ++a) {
+      for (std::size_t b = 0; b < size(); ++b) cut_[a][b] = group[a] != group[b];
+    }
+  }
+
+  void RunUntil(double until) {
+    while (!queue_.empty() && queue_.top().at <= until && broken_.empty()) Step();
+    if (broken_.empty()) now_ = std::max(now_, until);
+  }
+  template <typename Done>
+  bool RunUntil(Done done, double most_s) {
+    const double until = now_ + most_s;
+    while (!done() && !queue_.empty() && queue_.top().at <= until && broken_.empty()) Step();
+    return done();
+  }
+
+  bool Leased(std::size_t i) const {
+    const Node& n = nodes_[i];
+    return n.cluster && n.cluster->agreement().Leased(Local(n));
+  }
+  // All that are there have one view, with all of them in it, and a lease.
+  bool Whole() const {
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (!up(i)) continue;
+      if (!Leased(i) || nodes_[i].cluster->agreement().view() != ViewOf(FirstUp())) return false;
+    }
+    std::size_t there = 0;
+    for (std::size_t i = 0; i < size(); ++i) there += up(i);
+    return there > 0 && ViewOf(FirstUp()).members.size() == there;
+  }
+  // For a message: what each member believes.
+  std::string Told() const {
+    std::string all;
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (!up(i)) continue;
+      const Agreement& a = nodes_[i].cluster->agreement();
+      all += "\n" + std::to_string(i + 1) + ": epoch " + std::to_string(a.view().epoch) + " of";
+      for (const ViewMember& m : a.view().members) all += " " + std::to_string(m.id);
+      all += "; part " + std::to_string(nodes_[i].cluster->Part(Local(nodes_[i])));
+      all += "; leased " + std::to_string(Leased(i)) + " leads " +
+             std::to_string(a.leader().leading()) + " vote " +
+             std::to_string(static_cast<int>(a.voter().state())) + " mind " +
+             std::to_string(a.votes().mind.number) + " lost " + std::to_string(a.voter().lost_disk()) +
+             " writes " + std::to_string(a.votes().writes) + "/" + std::to_string(nodes_[i].disk.writes) + " health";
+      for (const auto& m : nodes_[i].cluster->detector().members()) {
+        all += " " + std::to_string(static_cast<int>(m.health)) + "/" + std::to_string(m.incarnation);
+      }
+    }
+    return all;
+  }
+  const View& ViewOf(std::size_t i) const { return nodes_[i].cluster->agreement().view(); }
+  Health HealthAt(std::size_t at, std::size_t of) const {
+    return nodes_[at].cluster->detector().Find(of + 1)->health;
+  }
+  std::size_t FirstUp() const {
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (up(i)) return i;
+    }
+    return 0;
+  }
+
+  // Who was called failed though it answers: counted by whoever runs a day without such faults.
+  std::uint64_t failures_said = 0;
+  std::function<void(std::size_t at, const Change&)> on_change = [](std::size_t, const Change&) {};
+
+ private:
+  struct Event {
+    double at = 0;
+    std::uint64_t order = 0;
+    enum class What : std::uint8_t { kTick, kDeliver, kStored } what = What::kTick;
+    std::size_t node = 0;
+    std::uint64_t mark = 0;  // timer or tasks, as it was set
+    NodeId from = 0;
+    Life life = 0;
+    std::shared_ptr<const Frame> frame = nullptr;
+    std::uint64_t ticket = 0;
+    std::shared_ptr<const Votes> votes = nullptr;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  double Local(const Node& n) const { return n.offset + n.rate * now_; }
+  void Put(Event e) {
+    e.order = ++order_;
+    queue_.push(std::move(e));
+  }
+  void Arm(std::size_t i) {
+    Node& n = nodes_[i];
+    const double at = (n.cluster->NextAt() - n.offset) / n.rate + 1e-9;  // not just before, by rounding
+    if (!std::isfinite(at)) return;
+    Put({.at = std::max(at, now_), .what = Event::What::kTick, .node = i, .mark = ++n.timer});
+  }
+
+  void Step() {
+    Event e = queue_.top();
+    queue_.pop();
+    now_ = std::max(now_, e.at);
+    Node& n = nodes_[e.node];
+    if (!n.cluster) return;
+    if (n.paused_until > now_) {  // it finds all of it when it goes on
+      e.at = n.paused_until;
+      if (e.what == Event::What::kTick || queue_.size() < 100000) Put(std::move(e));
+      return;
+    }
+    Cluster::Actions actions;
+    const double local = Local(n);
+    switch (e.what) {
+      case Event::What::kTick:
+        if (e.mark != n.timer) return;
+        n.cluster->Tick(local, &actions);
+        break;
+      case Event::What::kDeliver:
+        n.cluster->Hear(local, e.from, e.life, *e.frame, &actions);
+        break;
+      case Event::What::kStored:
+        if (e.mark != n.tasks) return;
+        if (!o_.planted.vote_not_kept || random_.Unit() < 0.5) n.disk = *e.votes;
+        n.cluster->Stored(local, e.ticket, &actions);
+        break;
+    }
+    if (actions.answer && e.what == Event::What::kDeliver) {
+      actions.send.emplace_back(e.from, std::move(*actions.answer));
+    }
+    CarryOut(e.node, &actions);
+    Arm(e.node);
+    Check(e.node);
+  }
+
+  void CarryOut(std::size_t i, Cluster::Actions* actions) {
+    Node& n = nodes_[i];
+    for (const Change& change : actions->changes) {
+      if (change.health == Health::kFailed) failures_said += 1;
+      on_change(i, change);
+    }
+    if (actions->write) {
+      n.written_at = std::max(n.written_at, now_) + n.write_s * (0.5 + random_.Unit());
+      Put({.at = n.written_at, .what = Event::What::kStored,
+           .node = i, .mark = n.tasks, .ticket = actions->ticket,
+           .votes = std::make_shared<const Votes>(n.cluster->agreement().votes())});
+    }
+    for (auto& [to, frame] : actions->send) Send(i, to, std::move(frame));
+  }
+
+  void Send(std::size_t from, NodeId to, Frame frame) {
+    Node& n = nodes_[from];
+    n.datagrams += 1;
+    if (const auto* probe = std::get_if<Probe>(&frame)) n.bytes += 60 + 22 * probe->news.size();
+    if (o_.planted.refutation_ignored) {
+      if (auto* probe = std::get_if<Probe>(&frame)) {
+        probe->incarnation = 0;
+        std::erase_if(probe->news, [](const News& w) {
+          return w.health == Health::kAlive && w.incarnation > 0;
+        });
+      }
+    }
+    const std::size_t at = to - 1;
+    if (cut_[from][at]) return;
+    const auto shared = std::make_shared<const Frame>(std::move(frame));
+    const int copies = random_.Unit() < o_.doubled ? 2 : 1;
+    for (int c = 0; c < copies; ++c) {
+      if (random_.Unit() < o_.loss) continue;
+      double delay = o_.least_delay_s + (o_.most_delay_s - o_.least_delay_s) * random_.Unit();
+      if (c > 0) delay += 3 * random_.Unit();  // a copy may come much later
+      Put({.at = now_ + delay, .what = Event::What::kDeliver, .node = at,
+           .from = n.options.self, .life = n.options.life, .frame = shared});
+    }
+  }
+
+  void Broken(const std::string& what) {
+    broken_.push_back("at " + std::to_string(now_) + " s: " + what);
+  }
+
+  void Check(std::size_t i) {
+    Node& n = nodes_[i];
+    const Agreement& a = n.cluster->agreement();
+    const View& view = a.view();
+    if (view != n.last) {
+      if (view.epoch < n.last.epoch && n.tasks == last_tasks_[i]) Broken("an epoch fell");
+      const auto [it, fresh] = contents_.emplace(view.epoch, view);
+      if (!fresh && it->second != view) Broken("two contents of epoch " + std::to_string(view.epoch));
+      n.last = view;
+      last_tasks_[i] = n.tasks;
+    }
+    if (a.counters().conflicts > 0) Broken("a member saw a conflict");
+    double sum = 0;
+    for (std::size_t b = 0; b < size(); ++b) {
+      const Node& other = nodes_[b];
+      if (!other.cluster) continue;
+      const double local = Local(other);
+      sum += other.cluster->Part(local);
+      if (!other.cluster->agreement().Leased(local)) continue;
+      // Whoever acts on a later view must find this one's place as it is.
+      const ViewMember* at = nullptr;
+      for (std::size_t c = 0; c < size(); ++c) {
+        const Node& third = nodes_[c];
+        if (!third.cluster || !third.cluster->agreement().Leased(Local(third))) continue;
+        at = third.cluster->agreement().view().Find(other.options.self);
+        const bool later = third.cluster->agreement().view().epoch >
+                           other.cluster->agreement().view().epoch;
+        if (later && (at == nullptr || at->life != other.options.life)) {
+          Broken("member " + std::to_string(b + 1) + " acts on a lease after member " +
+                 std::to_string(c + 1) + " has a view without it");
+        }
+      }
+    }
+    if (sum > 1 + 1e-9) Broken("the parts come to " + std::to_string(sum));
+  }
+
+  Options o_;
+  Random random_;
+  std::vector<Node> nodes_;
+  std::vector<std::vector<bool>> cut_;
+  std::priority_queue<Event> queue_;
+  std::uint64_t order_ = 0;
+  double now_ = 0;
+  std::map<std::uint64_t, View> contents_;
+  std::map<std::size_t, std::uint64_t> last_tasks_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace millethollow::membership
+
+#endif  // MILLETHOLLOW_TESTS_MEMBERSHIP_WORLD_H_
