--- /dev/null
+++ b/src/codec/membership.cpp
@@ -0,0 +1,262 @@
+#include "codec/membership.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+#include "codec/fields.h"
+
+namespace millethollow::codec {
+namespace {
+
+using namespace membership;
+
+constexpr auto kLastMessage = Message::Kind::kRelease;
+constexpr auto kLastProbe = Probe::Kind::kNews;
+
+std::string Pair(std::uint64_t a, std::uint64_t b) {
+  Writer w;
+  w.Raw(a);
+  w.Raw(b);
+  return w.Take();
+}
+void Put(Writer* w, std::uint8_t field, const Ballot& b) {
+  if (b != Ballot{}) w->Nested(field, Pair(b.round, b.who));
+}
+Ballot TakeBallot(Reader* r) {
+  Ballot b;
+  b.round = r->Raw<std::uint64_t>();
+  b.who = r->Raw<std::uint64_t>();
+  return b;
+}
+void Put(Writer* w, std::uint8_t field, const Mind& m) {
+  if (m == Mind{}) return;
+  Writer inner;
+  inner.Raw(m.number);
+  inner.Raw(m.nonce);
+  w->Nested(field, inner.bytes());
+}
+Mind TakeMind(Reader* r) {
+  Mind m;
+  m.number = r->Raw<std::uint32_t>();
+  m.nonce = r->Raw<std::uint64_t>();
+  return m;
+}
+void Put(Writer* w, std::uint8_t field, const Minds& minds) {
+  for (const auto& [id, mind] : minds) {
+    Writer inner;
+    inner.Raw(id);
+    inner.Raw(mind.number);
+    inner.Raw(mind.nonce);
+    w->Nested(field, inner.bytes());
+  }
+}
+void Take(Reader* r, Minds* minds) {
+  const auto id = r->Raw<std::uint64_t>();
+  const Mind mind = TakeMind(r);
+  if (minds->size() >= kMostVoters) return r->Fail();
+  minds->emplace_back(id, mind);
+}
+void Put(Writer* w, std::uint8_t field, const View& v) {
+  if (v.epoch == 0) return;
+  Writer inner;
+  inner.Number(1, v.epoch);
+  inner.Number(3, v.settled);
+  for (const ViewMember& m : v.members) {
+    Writer member;
+    member.Number(1, m.id);
+    member.Number(2, m.life);
+    member.Text(3, m.place);
+    member.Number(4, m.since);
+    inner.Nested(2, member.bytes());
+  }
+  w->Nested(field, inner.bytes());
+}
+bool Take(std::string_view bytes, View* v) {
+  Reader r(bytes);
+  while (r.Next()) {
+    if (r.field() == 1) v->epoch = r.Raw<std::uint64_t>();
+    if (r.field() == 3) v->settled = r.Raw<std::uint64_t>();
+    if (r.field() != 2) continue;
+    if (v->members.size() >= kMostMembers) return false;
+    ViewMember& m = v->members.emplace_back();
+    Reader in(r.value());
+    while (in.Next()) {
+      if (in.field() == 1) m.id = in.Raw<std::uint64_t>();
+      if (in.field() == 2) m.life = in.Raw<std::uint64_t>();
+      if (in.field() == 3) m.place = in.value();
+      if (in.field() == 4) m.since = in.Raw<std::uint64_t>();
+    }
+    if (!in.ok() || m.place.size() > kMostPlace) return false;
+  }
+  return r.ok();
+}
+
+}  // namespace
+
+std::uint64_t Hash(std::string_view text) {
+  const std::uint64_t hash = XXH3_64bits(text.data(), text.size());
+  return hash == 0 ? 1 : hash;
+}
+
+std::string Encode(const Votes& v) {
+  Writer w;
+  Put(&w, 1, v.promised);
+  Put(&w, 2, v.accepted_by);
+  Put(&w, 3, v.accepted);
+  Put(&w, 4, v.mind);
+  Put(&w, 5, v.minds);
+  w.Number(6, v.writes);
+  return w.Take();
+}
+
+std::optional<Votes> DecodeVotes(std::string_view bytes) {
+  Votes v;
+  Reader r(bytes);
+  while (r.Next()) {
+    switch (r.field()) {
+      case 1:
+        v.promised = TakeBallot(&r);
+        break;
+      case 2:
+        v.accepted_by = TakeBallot(&r);
+        break;
+      case 3:
+        if (!Take(r.value(), &v.accepted)) return std::nullopt;
+        break;
+      case 4:
+        v.mind = TakeMind(&r);
+        break;
+      case 5:
+        Take(&r, &v.minds);
+        break;
+      case 6:
+        v.writes = r.Raw<std::uint64_t>();
+        break;
+      default:
+        break;
+    }
+  }
+  return r.ok() ? std::optional(std::move(v)) : std::nullopt;
+}
+
+std::string Encode(const Probe& p) {
+  Writer w;
+  w.Raw(static_cast<std::uint8_t>(p.kind));
+  w.Number(1, p.seq);
+  w.Number(2, p.about);
+  w.Number(3, p.incarnation);
+  w.Number(4, p.digest);
+  for (const News& n : p.news) {
+    Writer inner;
+    inner.Raw(n.who);
+    inner.Raw(n.incarnation);
+    inner.Raw(static_cast<std::uint8_t>(n.health));
+    if (n.by != 0) inner.Raw(n.by);
+    w.Nested(5, inner.bytes());
+  }
+  return w.Take();
+}
+
+std::optional<Probe> DecodeProbe(std::string_view bytes) {
+  if (bytes.empty() ||
+      static_cast<std::uint8_t>(bytes[0]) > static_cast<std::uint8_t>(kLastProbe)) {
+    return std::nullopt;
+  }
+  Probe p;
+  p.kind = static_cast<Probe::Kind>(bytes[0]);
+  Reader r(bytes.substr(1));
+  while (r.Next()) {
+    if (r.field() == 1) p.seq = r.Raw<std::uint32_t>();
+    if (r.field() == 2) p.about = r.Raw<std::uint64_t>();
+    if (r.field() == 3) p.incarnation = r.Raw<std::uint32_t>();
+    if (r.field() == 4) p.digest = r.Raw<std::uint64_t>();
+    if (r.field() != 5) continue;
+    News n;
+    n.who = r.Raw<std::uint64_t>();
+    n.incarnation = r.Raw<std::uint32_t>();
+    const auto health = r.Raw<std::uint8_t>();
+    if (health > static_cast<std::uint8_t>(Health::kLeft)) continue;  // of a later build
+    n.health = static_cast<Health>(health);
+    if (!r.value().empty()) n.by = r.Raw<std::uint64_t>();
+    if (p.news.size() < Probe::kMostNews) p.news.push_back(n);
+  }
+  return r.ok() ? std::optional(std::move(p)) : std::nullopt;
+}
+
+std::string Encode(const Message& m) {
+  Writer w;
+  w.Raw(static_cast<std::uint8_t>(m.kind));
+  Put(&w, 1, m.ballot);
+  Put(&w, 2, m.accepted_by);
+  Put(&w, 3, m.view);
+  Put(&w, 4, m.mind);
+  Put(&w, 5, m.minds);
+  Put(&w, 6, m.quorum);
+  w.Number(7, m.number);
+  w.Number(8, m.count);
+  w.Number(9, m.life);
+  w.Number(10, m.asked_at);
+  w.Number(11, m.span);
+  w.Number(12, static_cast<std::uint8_t>(m.yes));
+  w.Number(13, m.origin);
+  return w.Take();
+}
+
+std::optional<Message> DecodeMessage(std::string_view bytes) {
+  if (bytes.empty() ||
+      static_cast<std::uint8_t>(bytes[0]) > static_cast<std::uint8_t>(kLastMessage)) {
+    return std::nullopt;
+  }
+  Message m;
+  m.kind = static_cast<Message::Kind>(bytes[0]);
+  Reader r(bytes.substr(1));
+  while (r.Next()) {
+    switch (r.field()) {
+      case 1:
+        m.ballot = TakeBallot(&r);
+        break;
+      case 2:
+        m.accepted_by = TakeBallot(&r);
+        break;
+      case 3:
+        if (!Take(r.value(), &m.view)) return std::nullopt;
+        break;
+      case 4:
+        m.mind = TakeMind(&r);
+        break;
+      case 5:
+        Take(&r, &m.minds);
+        break;
+      case 6:
+        Take(&r, &m.quorum);
+        break;
+      case 7:
+        m.number = r.Raw<std::uint64_t>();
+        break;
+      case 8:
+        m.count = r.Raw<std::uint64_t>();
+        break;
+      case 9:
+        m.life = r.Raw<std::uint64_t>();
+        break;
+      case 10:
+        m.asked_at = r.Raw<double>();
+        break;
+      case 11:
+        m.span = r.Raw<double>();
+        break;
+      case 13:
+        m.origin = r.Raw<std::uint64_t>();
+        break;
+      case 12:
+        m.yes = r.Raw<std::uint8_t>() != 0;
+        break;
+      default:
+        break;
+    }
+  }
+  return r.ok() ? std::optional(std::move(m)) : std::nullopt;
+}
+
+}  // namespace millethollow::codec
--- /dev/null
+++ b/src/config/cluster.cpp
@@ -0,0 +1,124 @@
+#include "config/cluster.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "config/keys.h"
+
+namespace millethollow {
+namespace {
+
+using Json = nlohmann::json;
+constexpr std::size_t kMostMembers = 1024, kMostWord = 64;
+
+bool Word(const std::string& text) {
+  return !text.empty() && text.size() <= kMostWord &&
+         std::none_of(text.begin(), text.end(), [](char c) { return c <= ' ' || c >= 0x7f; });
+}
+
+bool Check(const ClusterOptions& o, std::string* why) {
+  const auto wrong = [why](const std::string& what) {
+    return *why = "configuration: cluster: " + what, false;
+  };
+  if (!Word(o.name)) return wrong("'name' must be one plain word");
+  if (o.members.empty()) return wrong("no members");
+  std::set<std::string> ids, addresses;
+  std::size_t voters = 0;
+  for (const ClusterMember& m : o.members) {
+    if (!Word(m.id)) return wrong("a member's 'id' must be one plain word");
+    if (!m.place.empty() && !Word(m.place))
+      return wrong("the place of '" + m.id + "' must be one plain word");
+    if (!ids.insert(m.id).second) return wrong("two members '" + m.id + "'");
+    if (m.address.empty()) return wrong("member '" + m.id + "' has no address");
+    if (!addresses.insert(m.address).second) return wrong("two members at " + m.address);
+    voters += m.voter;
+  }
+  const ClusterMember* self = o.Self();
+  if (self == nullptr) return wrong("'self' names no member: '" + o.self + "'");
+  if (voters != 1 && voters != 3 && voters != 5 && voters != 7) {
+    return wrong("1, 3, 5 or 7 members must be voters, not " + std::to_string(voters));
+  }
+  if (self->voter && o.store.empty()) return wrong("a voter needs a folder: 'store' is missing");
+  // A lease must outlive a change of the leader, and be asked for several times in its span.
+  const auto& a = o.agreement;
+  if (a.beat_s * 2 > a.election_s) return wrong("'election_s' must be at least twice 'beat_s'");
+  if (a.lease_s < 3 * a.election_s)
+    return wrong("'lease_s' must be at least three times 'election_s'");
+  if (a.renew_s * 4 > a.lease_s) return wrong("'lease_s' must be at least four times 'renew_s'");
+  const auto& d = o.detector;
+  if (d.timeout_s >= d.probe_s) return wrong("'timeout_s' must be under 'probe_s'");
+  if (d.suspect_s > d.suspect_most_s) return wrong("'suspect_s' must not be over 'suspect_most_s'");
+  return true;
+}
+
+}  // namespace
+
+const ClusterMember* ClusterOptions::Self() const {
+  const auto it = std::find_if(members.begin(), members.end(),
+                               [this](const ClusterMember& m) { return m.id == self; });
+  return it == members.end() ? nullptr : &*it;
+}
+
+bool ReadCluster(std::string_view text, ClusterOptions* options, std::string* why) {
+  const Json root = Json::parse(text, nullptr, false, true);
+  if (!root.is_object()) return *why = "configuration: not a JSON object", false;
+  const auto section = root.find("cluster");
+  if (section == root.end() || section->is_null()) return true;
+  ClusterOptions o;
+  const auto number = [why](double* out, double least, double most) {
+    return NumberKey(out, least, most, why);
+  };
+  const auto members = [&](const Json& value, const std::string& path) {
+    if (!value.is_array() || value.size() > kMostMembers) {
+      return *why = "configuration: '" + path + "' is not a list of up to 1024 members", false;
+    }
+    for (const Json& item : value) {
+      ClusterMember m;
+      const std::string at = path + "." + std::to_string(o.members.size());
+      if (!ReadKeys(item, at,
+                    {{"id", TextKey(&m.id, why)},
+                     {"address", TextKey(&m.address, why)},
+                     {"place", TextKey(&m.place, why)},
+                     {"voter", FlagKey(&m.voter, why)}},
+                    why)) {
+        return false;
+      }
+      o.members.push_back(std::move(m));
+    }
+    return true;
+  };
+  const KeyReaders timings{
+      {"probe_s", number(&o.detector.probe_s, 0.02, 60)},
+      {"timeout_s", number(&o.detector.timeout_s, 0.005, 30)},
+      {"gossip_s", number(&o.detector.gossip_s, 0.01, 30)},
+      {"suspect_s", number(&o.detector.suspect_s, 0.05, 300)},
+      {"suspect_most_s", number(&o.detector.suspect_most_s, 0.05, 600)},
+      {"failed_probe_s", number(&o.detector.failed_probe_s, 0.05, 600)},
+      {"beat_s", number(&o.agreement.beat_s, 0.02, 60)},
+      {"election_s", number(&o.agreement.election_s, 0.05, 120)},
+      {"lease_s", number(&o.agreement.lease_s, 0.2, 600)},
+      {"renew_s", number(&o.agreement.renew_s, 0.02, 120)},
+      {"view_gap_s", number(&o.agreement.view_gap_s, 0.05, 600)},
+      {"drift", number(&o.agreement.drift, 0, 0.2)},
+      {"return_s", number(&o.agreement.return_s, 0, 600)},
+      {"return_most_s", number(&o.agreement.return_most_s, 0, 3600)},
+      {"forgive_s", number(&o.agreement.forgive_s, 0, 86400)},
+  };
+  const KeyReaders readers{
+      {"name", TextKey(&o.name, why)},
+      {"self", TextKey(&o.self, why)},
+      {"listen", TextKey(&o.listen, why)},
+      {"store", TextKey(&o.store, why)},
+      {"members", members},
+      {"cut_off_part", number(&o.cut_off_part, 0, 1)},
+      {"timings", [&](const Json& value,
+                      const std::string& path) { return ReadKeys(value, path, timings, why); }},
+  };
+  if (!ReadKeys(*section, "cluster", readers, why) || !Check(o, why)) return false;
+  if (o.listen.empty()) o.listen = o.Self()->address;
+  *options = std::move(o);
+  return true;
+}
+
+}  // namespace millethollow
--- /dev/null
+++ b/src/config/cluster.h
@@ -0,0 +1,40 @@
+// The section `cluster` of an operator's file: which processes are one cluster. Off where it is
+// absent.
+#ifndef MILLETHOLLOW_CONFIG_CLUSTER_H_
+#define MILLETHOLLOW_CONFIG_CLUSTER_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "membership/agreement.h"
+#include "membership/detector.h"
+
+namespace millethollow {
+
+struct ClusterMember {
+  std::string id, address, place;
+  bool voter = false;
+};
+
+struct ClusterOptions {
+  std::string name;  // empty: no cluster
+  std::string self;
+  std::string listen;  // where this member binds; its address in the list where the file is silent
+  std::vector<ClusterMember> members;
+  std::string store;  // a folder of its own; a voter must have one
+  membership::DetectorTimings detector;
+  membership::AgreementTimings agreement;
+  double cut_off_part = 0.5;
+
+  bool on() const { return !name.empty(); }
+  const ClusterMember* Self() const;
+};
+
+// Reads the section from a file's text; where there is none, `options` stays as it is. False, with
+// one clear line, for a key that is not known, a value out of its range, or members that don't fit.
+bool ReadCluster(std::string_view text, ClusterOptions* options, std::string* why);
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_CONFIG_CLUSTER_H_
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/cluster.h"
 #include "config/scheduling.h"
 #include "net/connection.h"
 #include "wire.h"
@@ -159,7 +160,10 @@
     *why = "configuration: settings: " + *why;
     return false;
   }
-  if (!ReadScheduling(text, c->classes, &c->scheduling, why)) return false;
+  if (!ReadScheduling(text, c->classes, &c->scheduling, why) ||
+      !ReadCluster(text, &c->cluster, why)) {
+    return false;
+  }
   const Json link = Child(root, "levels");
   if (!ReadGearman(Child(root, "gearman"), c, why) || !Read(link, "link", &c->link, why) ||
       !Read(link, "planners", &c->planners, why) ||
@@ -210,9 +214,16 @@
   if (!config->admin.empty() && !config->link.empty()) {
     return *why = "configuration: 'admin' is for a node of one process, not for 'levels'", false;
   }
-  return check(config->listen, "listen") && check(config->admin, "admin") &&
-         check(config->discovery, "discovery") && check(config->peer_listen, "peer_listen") &&
-         check(config->gearman_listen, "gearman");
+  if (config->cluster.on() && !config->link.empty()) {
+    return *why = "configuration: 'cluster' is for a node of one process, not yet for 'levels'",
+           false;
+  }
+  for (const ClusterMember& m : config->cluster.members) {
+    if (!check(m.address, ("the address of cluster member '" + m.id + "'").c_str())) return false;
+  }
+  return check(config->cluster.listen, "cluster.listen") && check(config->listen, "listen") &&
+         check(config->admin, "admin") && check(config->discovery, "discovery") &&
+         check(config->peer_listen, "peer_listen") && check(config->gearman_listen, "gearman");
 }
 
 }  // namespace millethollow
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/cluster.h"
 #include "decksail/balancer.h"
 #include "scheduling/options.h"
 
@@ -44,6 +45,7 @@
   std::string gearman_path = "/api";  // asked of HTTP next hops
   std::string link;                   // path of the Unix sockets; empty: one process
   int planners = 1, forwarders = 1;
+  ClusterOptions cluster;
 };
 
 // Reads a file's text. Unknown keys are ignored; false, with one clear line, if it can't be used.
--- /dev/null
+++ b/src/config/keys.h
@@ -0,0 +1,58 @@
+// Reading the keys of a JSON object, each by its own reader; a key that has none is an error.
+#ifndef MILLETHOLLOW_CONFIG_KEYS_H_
+#define MILLETHOLLOW_CONFIG_KEYS_H_
+
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+
+namespace millethollow {
+
+using KeyReader = std::function<bool(const nlohmann::json&, const std::string& path)>;
+using KeyReaders = std::map<std::string, KeyReader>;
+
+inline bool ReadKeys(const nlohmann::json& object, const std::string& at, const KeyReaders& readers,
+                     std::string* why) {
+  if (!object.is_object()) return *why = "configuration: '" + at + "' is not an object", false;
+  for (const auto& [key, value] : object.items()) {
+    const std::string path = at + "." + key;
+    const auto reader = readers.find(key);
+    if (reader == readers.end()) return *why = "configuration: unknown key '" + path + "'", false;
+    if (!reader->second(value, path)) return false;
+  }
+  return true;
+}
+
+inline KeyReader NumberKey(double* out, double least, double most, std::string* why) {
+  return [=](const nlohmann::json& value, const std::string& path) {
+    if (!value.is_number() || value.get<double>() < least || value.get<double>() > most) {
+      std::ostringstream line;
+      line << "configuration: '" << path << "' is not a number from " << least << " to " << most;
+      return *why = line.str(), false;
+    }
+    *out = value.get<double>();
+    return true;
+  };
+}
+
+inline KeyReader FlagKey(bool* out, std::string* why) {
+  return [=](const nlohmann::json& value, const std::string& path) {
+    if (!value.is_boolean()) return *why = "configuration: '" + path + "' is not a flag", false;
+    *out = value.get<bool>();
+    return true;
+  };
+}
+
+inline KeyReader TextKey(std::string* out, std::string* why) {
+  return [=](const nlohmann::json& value, const std::string& path) {
+    if (!value.is_string()) return *why = "configuration: '" + path + "' is not a text", false;
+    *out = value.get<std::string>();
+    return true;
+  };
+}
+
+}  // namespace millethollow
+
+#endif  // MILLETHOLLOW_CONFIG_KEYS_H_
--- a/src/config/scheduling.cpp
+++ b/src/config/scheduling.cpp
@@ -2,30 +2,16 @@
 
 #include <algorithm>
 #include <fstream>
-#include <functional>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/keys.h"
+
 namespace millethollow {
 namespace {
 
 using Json = nlohmann::json;
 
-// Reads the keys of one object, each by its own reader. A key that has none is an error.
-using Readers = std::map<std::string, std::function<bool(const Json&, const std::string&)>>;
-
-bool ReadKeys(const Json& object, const std::string& at, const Readers& readers, std::string* why) {
-  if (!object.is_object()) return *why = "configuration: '" + at + "' is not an object", false;
-  for (const auto& [key, value] : object.items()) {
-    const std::string path = at + "." + key;
-    const auto reader = readers.find(key);
-    if (reader == readers.end()) return *why = "configuration: unknown key '" + path + "'", false;
-    if (!reader->second(value, path)) return false;
-  }
-  return true;
-}
-
 }  // namespace
 
 bool ReadScheduling(std::string_view text, const std::vector<std::string>& classes,
@@ -36,15 +22,7 @@
   if (section == root.end() || section->is_null()) return true;
   scheduling::Options o = *options;
   const auto number = [why](double* out, double least, double most) {
-    return [=](const Json& value, const std::string& path) {
-      if (!value.is_number() || value.get<double>() < least || value.get<double>() > most) {
-        std::ostringstream line;
-        line << "configuration: '" << path << "' is not a number from " << least << " to " << most;
-        return *why = line.str(), false;
-      }
-      *out = value.get<double>();
-      return true;
-    };
+    return NumberKey(out, least, most, why);
   };
   const auto names = [&](const Json& value, const std::string& path) {
     const auto text_only = [](const Json& item) { return item.is_string(); };
@@ -60,22 +38,15 @@
     }
     return true;
   };
-  const auto flag = [why](bool* out) {
-    return [=](const Json& value, const std::string& path) {
-      if (!value.is_boolean()) return *why = "configuration: '" + path + "' is not a flag", false;
-      *out = value.get<bool>();
-      return true;
-    };
-  };
-  const auto group = [why](const Readers& readers) {
+  const auto group = [why](const KeyReaders& readers) {
     return [=](const Json& value, const std::string& path) {
       return ReadKeys(value, path, readers, why);
     };
   };
   o.on = true;  // who writes the section wants it
   double jobs = static_cast<double>(o.most_jobs);
-  const Readers readers{
-      {"enabled", flag(&o.on)},
+  const KeyReaders readers{
+      {"enabled", FlagKey(&o.on, why)},
       {"waiting", group({{"jobs", number(&jobs, 1, 1e6)},
                          {"bytes", number(&o.most_bytes, 0, 1e12)},
                          {"tenant_share", number(&o.tenant_share, 0.001, 1)}})},
--- a/src/net/admin/admin_server.cpp
+++ b/src/net/admin/admin_server.cpp
@@ -68,6 +68,10 @@
       const bool serving = server_->hooks_.serving();
       return Respond(serving ? 200 : 503, serving ? "serving\n" : "not serving\n");
     }
+    if (path == "/members" && server_->hooks_.members) {
+      if (head.method != "GET") return Respond(405, "", "Allow: GET\r\n");
+      return Respond(200, server_->hooks_.members());
+    }
     for (const std::string_view verb : {"/maint", "/ready"}) {
       if (!path.starts_with(kWorkers) || !path.ends_with(verb)) continue;
       if (path.size() <= kWorkers.size() + verb.size()) continue;
--- a/src/net/admin/admin_server.h
+++ b/src/net/admin/admin_server.h
@@ -20,6 +20,7 @@
     std::function<std::string()> figures;
     // Takes a worker out, or puts it back; false if no such worker is known.
     std::function<bool(const std::string& worker, bool out)> maintain;
+    std::function<std::string()> members;  // of the cluster, as JSON; none: there is no cluster
   };
   // Part of the descriptors that the budget leaves aside. Whoever comes beyond it costs the caller
   // that has been here longest without a whole call its place: nobody is shut out.
--- /dev/null
+++ b/src/net/cluster/member.cpp
@@ -0,0 +1,325 @@
+#include "net/cluster/member.h"
+
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+#include "codec/membership.h"
+#include "events.h"
+#include "net/connection.h"
+
+namespace millethollow::cluster {
+namespace {
+
+using membership::Health;
+using membership::NodeId;
+
+const char* NameOfHealth(Health health) {
+  return health == Health::kAlive     ? "alive"
+         : health == Health::kSuspect ? "suspect"
+         : health == Health::kFailed  ? "failed"
+                                      : "left";
+}
+
+const char* NameOfState(membership::Voter::State state) {
+  using State = membership::Voter::State;
+  return state == State::kAsking     ? "asking"
+         : state == State::kClaiming ? "claiming"
+         : state == State::kVoting   ? "voting"
+                                     : "stopped";
+}
+
+long Millis(double s) { return std::lround(1000 * s); }
+
+}  // namespace
+
+bool Member::Window::Fresh(membership::Life of, std::uint64_t number) {
+  if (of != life) {
+    life = of;
+    highest = number;
+    seen.reset();
+    seen.set(0);
+    return true;
+  }
+  if (number > highest) {
+    const std::uint64_t by = number - highest;
+    seen = by < kBits ? seen << by : std::bitset<kBits>{};
+    highest = number;
+    seen.set(0);
+    return true;
+  }
+  const std::uint64_t back = highest - number;
+  if (back >= kBits || seen.test(back)) return false;
+  seen.set(back);
+  return true;
+}
+
+Member::Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed)
+    : loop_(loop),
+      options_(options),
+      seed_(seed),
+      hash_(codec::Hash(options.name)),
+      self_(codec::Hash(options.self)),
+      transport_(loop, [this](std::string_view bytes, const sockaddr_in* source) {
+        Heard(bytes, source);
+      }) {}
+
+Member::~Member() {
+  loop_->deadlines().Drop(&tick_);
+  votes_.reset();  // its thread speaks to what follows
+  woken_.reset();
+  if (wake_ >= 0) close(wake_);
+}
+
+double Member::Now() {
+  timespec t{};
+  clock_gettime(CLOCK_BOOTTIME, &t);
+  return static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec);
+}
+
+const std::string& Member::NameOf(NodeId id) const {
+  static const std::string nobody = "-";
+  const auto it = names_.find(id);
+  return it == names_.end() ? nobody : it->second;
+}
+
+bool Member::Start(std::string* why) {
+  membership::Random random(seed_);
+  membership::Cluster::Options o;
+  o.self = self_;
+  o.life = life_ = random.Word() | 1;
+  o.detector = options_.detector;
+  o.agreement = options_.agreement;
+  o.cut_off_part = options_.cut_off_part;
+  for (const ClusterMember& m : options_.members) {
+    const NodeId id = codec::Hash(m.id);
+    o.members.push_back({id, m.place, m.voter});
+    if (!names_.emplace(id, m.id).second) {
+      return *why = "cluster: '" + m.id + "' and '" + NameOf(id) + "' have one hash", false;
+    }
+    if (const auto address = ParseAddress(m.address)) transport_.SetPeer(id, *address);
+  }
+  membership::Votes votes;
+  if (!options_.store.empty()) {
+    wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (wake_ < 0) return *why = "cluster: no descriptor to be had", false;
+    woken_.reset(event_new(
+        loop_->base(), wake_, EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Member*>(self)->OnWritten(); }, this));
+    event_add(woken_.get(), nullptr);
+    votes_ = std::make_unique<store::VoteFile>();
+    bool damaged = false;
+    const auto written = [this](std::uint64_t ticket, bool ok) {
+      {
+        const std::lock_guard lock(mutex_);
+        written_.emplace_back(ticket, ok);
+      }
+      eventfd_write(wake_, 1);
+    };
+    if (!votes_->Open(options_.store, hash_, self_, written, &votes, &damaged, why)) return false;
+    if (damaged) {
+      Events().error("cluster votes-damaged store={} kept=votes.damaged", options_.store);
+    }
+  }
+  if (!transport_.Open(options_.listen, why)) return false;
+  cluster_ = std::make_unique<membership::Cluster>(o, std::move(votes), random.Word(), Now());
+  Events().info("cluster start name={} self={} life={:x} members={}", options_.name, options_.self,
+                life_, options_.members.size());
+  Arm();
+  return true;
+}
+
+void Member::Arm() {
+  loop_->deadlines().Drop(&tick_);
+  const double at = cluster_->NextAt();
+  if (!std::isfinite(at)) return;
+  tick_ = loop_->deadlines().At(loop_->Now() + std::max(0.0, at - Now()), [this] {
+    tick_ = Deadlines::kNone;
+    Tick();
+  });
+}
+
+void Member::Tick() {
+  membership::Cluster::Actions actions;
+  cluster_->Tick(Now(), &actions);
+  CarryOut(&actions);
+}
+
+void Member::Heard(std::string_view bytes, const sockaddr_in* source) {
+  Header header;
+  membership::Frame frame;
+  switch (Decode(bytes, &header, &frame)) {
+    case Fault::kNone:
+      break;
+    case Fault::kOtherVersion:
+      refusals_.other_version += 1;
+      return;
+    case Fault::kUnknownKind:
+      refusals_.unknown += 1;
+      return;
+    case Fault::kShort:
+    case Fault::kGarbled:
+      refusals_.garbled += 1;
+      return;
+  }
+  if (header.cluster != hash_) {
+    refusals_.other_cluster += 1;
+    return;
+  }
+  if (!names_.contains(header.from) || header.from == self_) {
+    refusals_.strangers += 1;
+    return;
+  }
+  if (!windows_[header.from].Fresh(header.life, header.number)) {
+    refusals_.replayed += 1;
+    return;
+  }
+  membership::Cluster::Actions actions;
+  cluster_->Hear(Now(), header.from, header.life, frame, &actions);
+  if (actions.answer && source != nullptr) {
+    transport_.SendTo(*source, Encode({hash_, self_, life_, ++numbers_[header.from]},
+                                      std::move(*actions.answer)));
+  }
+  CarryOut(&actions);
+}
+
+void Member::OnWritten() {
+  eventfd_t count = 0;
+  eventfd_read(wake_, &count);
+  std::vector<std::pair<std::uint64_t, bool>> written;
+  {
+    const std::lock_guard lock(mutex_);
+    written.swap(written_);
+  }
+  for (const auto& [ticket, ok] : written) {
+    if (!ok) {
+      Events().error("cluster store-failed store={} this process does not vote any more",
+                     options_.store);
+      cluster_->StoreFailed();
+      continue;
+    }
+    membership::Cluster::Actions actions;
+    cluster_->Stored(Now(), ticket, &actions);
+    CarryOut(&actions);
+  }
+}
+
+void Member::CarryOut(membership::Cluster::Actions* actions) {
+  if (actions->write && votes_) votes_->Write(cluster_->agreement().votes(), actions->ticket);
+  for (const auto& [to, frame] : actions->send) {
+    transport_.Send(to, Encode({hash_, self_, life_, ++numbers_[to]}, frame));
+  }
+  const membership::View& view = cluster_->agreement().view();
+  for (const membership::Change& c : actions->changes) {
+    const auto level = c.health == Health::kFailed ? spdlog::level::warn : spdlog::level::info;
+    Events().log(level, "cluster member={} health={} incarnation={} epoch={}", NameOf(c.who),
+                 NameOfHealth(c.health), c.incarnation, view.epoch);
+  }
+  if (actions->new_view) {
+    std::string members;
+    for (const auto& m : view.members) members += (members.empty() ? "" : ",") + NameOf(m.id);
+    Events().info("cluster view epoch={} members={}", view.epoch, members);
+  }
+  if (actions->yield) {
+    Events().error("cluster yield self={} another process is this member: this one takes no part",
+                   options_.self);
+  }
+  const bool leased = Leased();
+  if (leased != was_leased_) {
+    was_leased_ = leased;
+    Events().info("cluster lease={} epoch={}", leased ? "held" : "lost", view.epoch);
+  }
+  Arm();
+}
+
+void Member::Leave() {
+  if (!cluster_) return;
+  membership::Cluster::Actions actions;
+  cluster_->Leave(Now(), &actions);
+  CarryOut(&actions);
+}
+
+bool Member::Leased() const { return cluster_ && cluster_->agreement().Leased(Now()); }
+double Member::LeaseLeft() const { return cluster_ ? cluster_->agreement().LeaseLeft(Now()) : 0; }
+double Member::Part() const { return cluster_ ? cluster_->Part(Now()) : 1; }
+
+std::string Member::Figures() const {
+  std::ostringstream out;
+  const auto count = [&](const char* name, std::uint64_t value, char kind = 'c') {
+    out << "app.cluster." << name << ':' << value << '|' << kind << '\n';
+  };
+  const auto& d = cluster_->detector().counters();
+  const auto& a = cluster_->agreement().counters();
+  const TransportCounters& t = transport_.counters();
+  count("epoch", cluster_->agreement().view().epoch, 'g');
+  count("leased", Leased() ? 1 : 0, 'g');
+  count("slowness", static_cast<std::uint64_t>(cluster_->detector().own_slowness()), 'g');
+  count("probes", d.probes);
+  count("probes_failed", d.failed_probes);
+  count("suspicions", d.suspicions);
+  count("refutations", d.refutations);
+  count("failures", d.failures);
+  count("stops_noticed", d.stops_noticed);
+  count("views", a.views);
+  count("elections", a.elections);
+  count("leases", a.leases);
+  count("lapses", a.lapses);
+  count("conflicts", a.conflicts);
+  count("frames_in", t.frames_in);
+  count("frames_out", t.frames_out);
+  count("bytes_in", t.bytes_in);
+  count("bytes_out", t.bytes_out);
+  count("streams", t.streams);
+  count("refused.garbled", refusals_.garbled);
+  count("refused.other_cluster", refusals_.other_cluster);
+  count("refused.strangers", refusals_.strangers);
+  count("refused.other_version", refusals_.other_version);
+  count("refused.unknown", refusals_.unknown);
+  count("refused.replayed", refusals_.replayed);
+  return out.str();
+}
+
+std::string Member::Json() const {
+  using nlohmann::json;
+  const double now = Now();
+  const membership::Agreement& a = cluster_->agreement();
+  json members = json::array();
+  for (const ClusterMember& m : options_.members) {
+    const NodeId id = codec::Hash(m.id);
+    const auto* known = cluster_->detector().Find(id);
+    const bool self = id == self_;
+    json one{{"id", m.id},
+             {"address", m.address},
+             {"place", m.place},
+             {"voter", m.voter},
+             {"state", NameOfHealth(known->health)},
+             {"incarnation", known->incarnation},
+             {"in_view", a.view().Find(id) != nullptr}};
+    if (const auto* in_view = a.view().Find(id)) {
+      one["life"] = (std::ostringstream() << std::hex << in_view->life).str();
+    }
+    one["seen_ms"] = self                 ? json(0)
+                     : known->seen_at < 0 ? json(nullptr)
+                                          : json(Millis(now - known->seen_at));
+    members.push_back(std::move(one));
+  }
+  json whole{{"cluster", options_.name},
+             {"self", options_.self},
+             {"epoch", a.view().epoch},
+             {"majority", a.Leased(now)},
+             {"lease_ms", Millis(a.LeaseLeft(now))},
+             {"part", cluster_->Part(now)},
+             {"leader", NameOf(a.leader_known())},
+             {"yielded", a.yielded()},
+             {"members", std::move(members)}};
+  if (options_.Self()->voter) whole["vote"] = NameOfState(a.voter().state());
+  return whole.dump() + "\n";
+}
+
+}  // namespace millethollow::cluster
--- /dev/null
+++ b/src/net/cluster/member.h
@@ -0,0 +1,90 @@
+// This process as a member of a cluster: carries between the decisions of membership::Cluster and
+// the sockets, the clock and the disk, and tells what there is to know.
+#ifndef MILLETHOLLOW_NET_CLUSTER_MEMBER_H_
+#define MILLETHOLLOW_NET_CLUSTER_MEMBER_H_
+
+#include <bitset>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/cluster.h"
+#include "membership/cluster.h"
+#include "net/cluster/frame.h"
+#include "net/cluster/transport.h"
+#include "net/loop.h"
+#include "store/vote_file.h"
+
+namespace millethollow::cluster {
+
+// Frames that were turned away, by cause.
+struct Refusals {
+  std::uint64_t garbled = 0, other_cluster = 0, strangers = 0, other_version = 0, unknown = 0;
+  std::uint64_t replayed = 0;
+};
+
+class Member {
+ public:
+  Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed);
+  ~Member();
+  Member(const Member&) = delete;
+  Member& operator=(const Member&) = delete;
+
+  bool Start(std::string* why);
+  // Says that this process goes and gives its lease back.
+  void Leave();
+
+  // With a clock read now, so that a stop that nobody noticed counts.
+  bool Leased() const;
+  double LeaseLeft() const;  // seconds
+  double Part() const;       // of what the whole cluster may do
+  const membership::Cluster& decisions() const { return *cluster_; }
+  std::string Figures() const;  // one a line, as at the second address
+  std::string Json() const;     // of GET /members
+
+ private:
+  // Which numbers of a sender's frames have come: a frame that comes twice is counted and dropped.
+  struct Window {
+    static constexpr std::size_t kBits = 1024;
+    membership::Life life = 0;
+    std::uint64_t highest = 0;
+    std::bitset<kBits> seen;
+    bool Fresh(membership::Life of, std::uint64_t number);
+  };
+
+  static double Now();  // of the machine, counts its pauses
+  void Heard(std::string_view bytes, const sockaddr_in* source);
+  void CarryOut(membership::Cluster::Actions* actions);
+  void Arm();
+  void Tick();
+  void OnWritten();
+  const std::string& NameOf(membership::NodeId id) const;
+
+  Loop* loop_;
+  ClusterOptions options_;
+  std::uint64_t seed_, hash_;
+  membership::NodeId self_;
+  membership::Life life_ = 0;
+  std::map<membership::NodeId, std::string> names_;
+  Transport transport_;
+  std::unique_ptr<membership::Cluster> cluster_;
+  std::map<membership::NodeId, Window> windows_;
+  std::map<membership::NodeId, std::uint64_t> numbers_;
+  Refusals refusals_;
+  Deadlines::Ticket tick_ = Deadlines::kNone;
+  bool was_leased_ = false;
+  // What the writer's thread has done.
+  std::unique_ptr<store::VoteFile> votes_;
+  std::mutex mutex_;
+  std::vector<std::pair<std::uint64_t, bool>> written_;
+  int wake_ = -1;
+  EventPtr woken_;
+};
+
+}  // namespace millethollow::cluster
+
+#endif  // MILLETHOLLOW_NET_CLUSTER_MEMBER_H_
--- /dev/null
+++ b/src/net/cluster/transport.h
@@ -0,0 +1,62 @@
+// Carries frames between members: datagrams up to kMostDatagram, longer ones each by a TCP
+// connection of its own, at the same address and port. Nothing is acknowledged or sent again here:
+// who needs that says it again. Bounded in connections, bytes and time.
+#ifndef MILLETHOLLOW_NET_CLUSTER_TRANSPORT_H_
+#define MILLETHOLLOW_NET_CLUSTER_TRANSPORT_H_
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "membership/types.h"
+#include "net/listener.h"
+#include "net/loop.h"
+
+namespace millethollow::cluster {
+
+class Stream;
+
+struct TransportCounters {
+  std::uint64_t frames_in = 0, frames_out = 0, bytes_in = 0, bytes_out = 0;
+  std::uint64_t streams = 0, dropped = 0;  // dropped: too long, or no connection to be had
+};
+
+class Transport {
+ public:
+  // `source`: where a datagram came from; null for a stream.
+  using Heard = std::function<void(std::string_view frame, const sockaddr_in* source)>;
+  Transport(Loop* loop, Heard heard);
+  ~Transport();
+  Transport(const Transport&) = delete;
+  Transport& operator=(const Transport&) = delete;
+
+  bool Open(const std::string& address, std::string* why);
+  void SetPeer(membership::NodeId id, const sockaddr_in& address) { peers_[id] = address; }
+  void Send(membership::NodeId to, const std::string& frame);
+  void SendTo(const sockaddr_in& to, const std::string& datagram);
+  const TransportCounters& counters() const { return counters_; }
+
+ private:
+  friend class Stream;
+  void Receive();
+  void Drop(Stream* stream);
+
+  Loop* loop_;
+  Heard heard_;
+  int fd_ = -1;
+  EventPtr readable_;
+  Listener listener_;
+  std::map<membership::NodeId, sockaddr_in> peers_;
+  std::map<Stream*, std::unique_ptr<Stream>> streams_;
+  std::size_t incoming_ = 0, outgoing_ = 0;
+  TransportCounters counters_;
+};
+
+}  // namespace millethollow::cluster
+
+#endif  // MILLETHOLLOW_NET_CLUSTER_TRANSPORT_H_
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -57,7 +57,9 @@
   loop_.budget() = DescriptorBudget::Of(config_.sockets);
   std::uint64_t seed = config_.seed;
   if (seed == 0) seed = std::random_device{}();
-  if (!config_.handover.empty() && role_.kind == Role::Kind::kWhole) {
+  // A member of a cluster is one process at a time.
+  const bool replaces = !config_.handover.empty() && !config_.cluster.on();
+  if (replaces && role_.kind == Role::Kind::kWhole) {
     std::string at = config_.name + "-" + config_.listen;
     std::replace(at.begin(), at.end(), '/', '_');
     succession_ = std::make_unique<handover::Succession>(
@@ -67,13 +69,20 @@
   if (role_.kind != Role::Kind::kPlanner && !StartForwarder(why)) return false;
   if (role_.kind != Role::Kind::kForwarder && !StartPlanner(seed, why)) return false;
   if (role_.kind == Role::Kind::kForwarder) client_->Start();
+  if (config_.cluster.on()) {
+    member_ = std::make_unique<cluster::Member>(&loop_, config_.cluster, std::random_device{}());
+    if (!member_->Start(why)) return false;
+  }
   if (!config_.admin.empty()) {
     admin_ = std::make_unique<admin::AdminServer>(
         &loop_,
-        admin::AdminServer::Hooks{.serving = [this] { return planner_ != nullptr && !stopping_; },
-                                  .figures = [this] { return Figures(); },
-                                  .maintain = [this](const std::string& worker,
-                                                     bool out) { return Maintain(worker, out); }});
+        admin::AdminServer::Hooks{
+            .serving = [this] { return planner_ != nullptr && !stopping_; },
+            .figures = [this] { return Figures(); },
+            .maintain = [this](const std::string& worker,
+                               bool out) { return Maintain(worker, out); },
+            .members = member_ ? std::function<std::string()>([this] { return member_->Json(); })
+                               : nullptr});
     if (!admin_->Listen(config_.admin, why)) return false;
   }
   if (succession_) {
@@ -329,6 +338,7 @@
   if (stopping_) return;
   stopping_ = true;
   LogLine(Level::kInfo) << "stopping";
+  if (member_) member_->Leave();
   if (front_) front_->BeginStop();
   if (gearman_) gearman_->BeginStop();
   loop_.deadlines().At(loop_.Now() + kStopAfterS, [this] {
@@ -383,6 +393,7 @@
         << "app.members_unavailable:" << avoided << "|g\n";
   }
   if (planner_ && planner_->desk().on()) PrintScheduling(*planner_, &out);
+  if (member_) out << member_->Figures();
   out << "app.config_reloads:" << counters_.reloads << "|c\n"
       << "app.config_reload_errors:" << counters_.reload_errors << "|c\n";
   return out.str();
--- a/src/node.h
+++ b/src/node.h
@@ -10,6 +10,7 @@
 #include "config/config.h"
 #include "core/planner.h"
 #include "net/admin/admin_server.h"
+#include "net/cluster/member.h"
 #include "net/discovery.h"
 #include "net/forwarder.h"
 #include "net/gearman/front.h"
@@ -79,7 +80,8 @@
   std::unique_ptr<link::PlannerClient> client_;
   std::unique_ptr<admin::AdminServer> admin_;
   std::unique_ptr<handover::Succession> succession_;
-  handover::Claimed claimed_;  // from the process before
+  std::unique_ptr<cluster::Member> member_;  // of a cluster, where there is one
+  handover::Claimed claimed_;                // from the process before
   EventPtr term_, interrupt_, usr1_, hangup_;
   std::string config_path_;
   bool stopping_ = false;
--- /dev/null
+++ b/tests/cluster/membership_test.cpp
@@ -0,0 +1,239 @@
+// Several processes of the program, with faults between them. CI plays the short forms; LONG=1 in the
+// environment (make cluster-test) plays whole minutes, and SEEDS more days.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "net/cluster/frame.h"
+#include "rig.h"
+
+namespace millethollow::rig {
+namespace {
+
+bool Long() { return std::getenv("LONG") != nullptr; }
+double Span(double in_ci, double whole) { return Long() ? whole : in_ci; }
+
+struct Nodes : ::testing::Test {
+  void Begin(const Cluster::Options& options = {}) {
+    rig = std::make_unique<Cluster>(options);
+    rig->StartAll();
+    ASSERT_TRUE(rig->Until([&] { return rig->Whole(); }, 20)) << Told();
+  }
+  void TearDown() override {
+    if (!rig) return;
+    EXPECT_EQ(rig->broken(), std::vector<std::string>{});
+    if (HasFailure()) std::printf("%s\n", Told().c_str());
+    rig.reset();
+  }
+  std::string Told() {
+    std::string all;
+    for (std::size_t i = 0; i < rig->size(); ++i) {
+      all += Cluster::Name(i) + ": " + rig->polled(i).told.dump() + "\n" + rig->LogOf(i);
+    }
+    return all;
+  }
+  bool AllSay(std::size_t of, const std::string& state, const std::vector<std::size_t>& at) {
+    return std::all_of(at.begin(), at.end(),
+                       [&](std::size_t i) { return rig->StateAt(i, of) == state; });
+  }
+  std::uint64_t AllFailedCalls() {
+    std::uint64_t n = 0;
+    for (std::size_t i = 0; i < rig->size(); ++i) n += rig->FailedCalls(i);
+    return n;
+  }
+  std::unique_ptr<Cluster> rig;
+};
+
+TEST_F(Nodes, AKilledOneIsFailedAtAllWithinThreeSecondsAndComesBack) {
+  Begin();
+  rig->Kill(4);
+  const double at = rig->now();
+  EXPECT_TRUE(rig->Until([&] { return AllSay(4, "failed", {0, 1, 2, 3}); }, 5));
+  EXPECT_LT(rig->now() - at, 3.0);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 10)) << "a view without it";
+  rig->Start(4);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 20)) << "a view with it again";
+}
+
+TEST_F(Nodes, TheLeaderAndAnotherKilledLeaveAMajority) {
+  Begin({.members = 5, .voters = 5, .seed = 2});
+  const std::string leader = rig->polled(0).told["leader"];
+  const auto first = static_cast<std::size_t>(leader[0] - 'a');
+  rig->Kill(first);
+  rig->Kill((first + 1) % 5);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 20));
+  rig->StartAll();
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 20));
+}
+
+TEST_F(Nodes, WithoutAMajorityNobodyHasALeaseUntilItReturns) {
+  Begin({.members = 4, .voters = 3, .seed = 3});
+  rig->Kill(0);
+  rig->Kill(1);
+  EXPECT_TRUE(rig->Until([&] { return !rig->Leased(2) && !rig->Leased(3); }, 8));
+  const std::uint64_t epoch = rig->highest_epoch();
+  rig->For(2);
+  EXPECT_EQ(rig->highest_epoch(), epoch) << "no view without a majority";
+  rig->StartAll();
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 20));
+}
+
+TEST_F(Nodes, AllKilledStartAgainFromTheirFoldersAndOneMuchLater) {
+  Begin({.members = 5, .voters = 3, .seed = 4});
+  const std::uint64_t epoch = rig->highest_epoch();
+  for (std::size_t i = 0; i < 5; ++i) rig->Kill(i);
+  for (const std::size_t i : {3UL, 1UL, 4UL, 0UL}) rig->Start(i);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 25));
+  EXPECT_GT(rig->highest_epoch(), epoch) << "epochs go on from what the disks hold";
+  rig->Start(2);  // a voter, with an old file
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 20));
+}
+
+TEST_F(Nodes, ABrokenLinkBetweenTwoWhoReachAThirdFailsNobody) {
+  Begin({.members = 4, .voters = 3, .seed = 5});
+  const std::uint64_t epoch = rig->highest_epoch();
+  rig->link(0, 1).cut = rig->link(1, 0).cut = true;
+  rig->For(Span(5, 60));
+  rig->link(2, 3).cut = true;  // and one way only
+  rig->For(Span(5, 60));
+  EXPECT_EQ(AllFailedCalls(), 0U);
+  EXPECT_EQ(rig->highest_epoch(), epoch);
+}
+
+TEST_F(Nodes, OneThatHearsButCannotSpeakLosesItsLeaseAndItsPlace) {
+  Begin({.members = 4, .voters = 3, .seed = 6});
+  for (std::size_t to = 0; to < 3; ++to) rig->link(3, to).cut = true;
+  EXPECT_TRUE(rig->Until([&] { return AllSay(3, "failed", {0, 1, 2}); }, 5));
+  EXPECT_TRUE(rig->Until([&] { return !rig->Leased(3); }, 6));
+  EXPECT_TRUE(rig->Until([&] { return !rig->polled(0).told["members"][3]["in_view"]; }, 10));
+  rig->Heal();
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 20));
+}
+
+TEST_F(Nodes, ACutLeavesTheMajorityAndHealsAlsoWhenCutElsewhereMeanwhile) {
+  Begin({.members = 5, .voters = 5, .seed = 7});
+  rig->Split({0, 0, 0, 1, 1});
+  EXPECT_TRUE(rig->Until([&] { return !rig->Leased(3) && !rig->Leased(4); }, 8));
+  EXPECT_TRUE(rig->Until([&] { return !rig->polled(0).told["members"][4]["in_view"]; }, 10));
+  EXPECT_TRUE(rig->Leased(0) && rig->Leased(1) && rig->Leased(2));
+  rig->Split({0, 1, 1, 1, 0});  // before the healing is through
+  EXPECT_TRUE(rig->Until([&] { return rig->Leased(1) && rig->Leased(2) && rig->Leased(3) && !rig->Leased(0); }, 25));
+  rig->Split({0, 0, 1, 1, 2});
+  EXPECT_TRUE(rig->Until([&] {
+    return !rig->Leased(0) && !rig->Leased(1) && !rig->Leased(2) && !rig->Leased(3) && !rig->Leased(4);
+  }, 10)) << "2|2|1: nobody has a majority";
+  rig->Heal();
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 60));
+}
+
+TEST_F(Nodes, ACutThatSwingsEverySecondDoesNotMakeViewsFlap) {
+  Begin({.members = 5, .voters = 3, .seed = 8});
+  const std::uint64_t epoch = rig->highest_epoch();
+  const int seconds = static_cast<int>(Span(8, 60));
+  for (int s = 0; s < seconds; ++s) {
+    if (s % 2 == 0) rig->Split({0, 0, 0, 1, 1});
+    if (s % 2 == 1) rig->Heal();
+    rig->For(1);
+  }
+  rig->Heal();
+  EXPECT_LE(rig->highest_epoch() - epoch, 24U) << "12 changes for each of the two members";
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 60));
+}
+
+TEST_F(Nodes, AShortStopFailsNobodyAndALongOneEndsTheLease) {
+  Begin({.members = 4, .voters = 3, .seed = 9});
+  for (int i = 0; i < 4; ++i) {
+    rig->Stop(3);
+    rig->For(0.5);
+    rig->Continue(3);
+    rig->For(1);
+  }
+  EXPECT_EQ(AllFailedCalls(), 0U) << "half a second";
+  rig->Stop(3);
+  EXPECT_TRUE(rig->Until([&] { return rig->polled(0).told["members"][3]["in_view"] == false; }, 15));
+  rig->Continue(3);
+  // What it tells first: its lease is over, though nobody has told it.
+  EXPECT_TRUE(rig->Until([&] { return rig->polled(3).told.is_object(); }, 5));
+  const bool knows = rig->Epoch(3) == rig->Epoch(0);
+  EXPECT_TRUE(!rig->Leased(3) || knows);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 25));
+}
+
+TEST_F(Nodes, AVoterWithAnEmptyFolderIsReadmittedBeforeItVotes) {
+  Begin({.members = 3, .voters = 3, .seed = 10});
+  rig->Kill(1);
+  rig->TakeFolder(1);
+  rig->Kill(2);  // so that only one of those who remember is there
+  rig->Start(1);
+  EXPECT_TRUE(rig->Until([&] { return rig->polled(1).told.is_object(); }, 5));
+  rig->For(6);
+  EXPECT_NE(rig->polled(1).told["vote"], "voting") << "one who remembers is no majority";
+  rig->Start(2);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole() && rig->polled(1).told["vote"] == "voting"; }, 25));
+}
+
+TEST_F(Nodes, OfTwoProcessesUnderOneIdOneYields) {
+  Begin({.members = 3, .voters = 3, .seed = 11});
+  rig->StartTwin(2);
+  EXPECT_TRUE(rig->Until([&] {
+    return rig->TwinLog().find("cluster yield") != std::string::npos;
+  }, 15));
+  EXPECT_EQ(rig->LogOf(2).find("cluster yield"), std::string::npos) << "who was there first stays";
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 10));
+}
+
+TEST_F(Nodes, LossOfOneInFiveFailsNobody) {
+  Begin({.members = 5, .voters = 3, .seed = 12});
+  rig->EachLink([](LinkFaults* l) {
+    l->loss = 0.2;
+    l->jitter_s = 0.01;
+  });
+  rig->For(Span(10, 60));
+  EXPECT_EQ(AllFailedCalls(), 0U);
+}
+
+TEST_F(Nodes, WhatIsNoFrameOfOursIsCountedAndChangesNothing) {
+  Begin({.members = 3, .voters = 3, .seed = 13});
+  const std::uint64_t epoch = rig->highest_epoch();
+  rig->EachLink([](LinkFaults* l) { l->garbled = l->shortened = l->doubled = 0.1; });
+  for (int i = 0; i < 2000; ++i) {
+    std::string noise(rig->random().Below(1500), '\0');
+    for (char& c : noise) c = static_cast<char>(rig->random().Word());
+    rig->Inject(0, noise);
+    if (i % 50 == 0) rig->For(0.005);
+  }
+  for (const std::string& old : rig->Overheard()) rig->Inject(0, old);
+  rig->Inject(0, cluster::Encode({.cluster = 7, .from = 7, .life = 7, .number = 1}, membership::Probe{}));
+  rig->For(Span(3, 30));
+  EXPECT_GT(rig->Figure(0, "app.cluster.refused.garbled"), 1000);
+  EXPECT_GT(rig->Figure(0, "app.cluster.refused.replayed"), 0);
+  EXPECT_EQ(rig->Figure(0, "app.cluster.refused.other_cluster"), 1);
+  EXPECT_EQ(rig->highest_epoch(), epoch);
+  EXPECT_EQ(AllFailedCalls(), 0U);
+  EXPECT_TRUE(rig->Whole());
+}
+
+TEST_F(Nodes, OneThatLeavesIsNotSuspected) {
+  Begin({.members = 4, .voters = 3, .seed = 14});
+  rig->Terminate(3);
+  EXPECT_TRUE(rig->Until([&] { return AllSay(3, "left", {0, 1, 2}); }, 3));
+  EXPECT_TRUE(rig->Until([&] { return !rig->Running(3); }, 5));
+  EXPECT_EQ(rig->ExitCode(3), 0);
+  EXPECT_EQ(AllFailedCalls(), 0U);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 5)) << "its lease was given back: no wait";
+}
+
+TEST_F(Nodes, AFullDiskEndsTheVoteAndNothingElse) {
+  Begin({.members = 3, .voters = 3, .seed = 15});
+  rig->Kill(2);
+  rig->BoundFiles(2, 20);
+  rig->Start(2);
+  EXPECT_TRUE(rig->Until([&] { return rig->polled(2).told.is_object() && rig->Leased(2); }, 20))
+      << "it needs no vote for a lease";
+  rig->Kill(0);
+  rig->For(6);
+  EXPECT_NE(rig->polled(2).told["vote"].get<std::string>(), "");
+}
+
+}  // namespace
+}  // namespace millethollow::rig
--- /dev/null
+++ b/tests/cluster/rig.h
@@ -0,0 +1,140 @@
+// Several processes of the program on loopback, with a relay of ours on every link between each pair:
+// what goes over a link can be dropped, delayed, doubled, reordered, garbled, cut short, throttled,
+// reset or cut one way, and processes can be stopped, continued, killed and robbed of their folders.
+// Faults come from a seed. What the nodes tell is polled, kept, and checked as it comes.
+#ifndef MILLETHOLLOW_TESTS_CLUSTER_RIG_H_
+#define MILLETHOLLOW_TESTS_CLUSTER_RIG_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "../support.h"
+#include "membership/types.h"
+
+namespace millethollow::rig {
+
+// One way, from a to b.
+struct LinkFaults {
+  bool cut = false;
+  double loss = 0, doubled = 0, garbled = 0, shortened = 0;  // of datagrams, 0 to 1
+  double delay_s = 0, jitter_s = 0;                          // jitter reorders
+  double bytes_per_s = 0;                                    // of streams; 0: unbounded
+  bool reset_streams = false;
+};
+
+class Link;
+
+class Cluster {
+ public:
+  struct Options {
+    std::size_t members = 5, voters = 3;
+    std::uint64_t seed = 1;
+    // Half of the defaults, so that CI takes half as long.
+    std::string timings = R"({"beat_s": 0.12, "election_s": 0.6, "lease_s": 2, "renew_s": 0.25,
+                              "view_gap_s": 0.5, "return_s": 0.5})";
+    std::string more = {};       // further top-level keys, each with a comma after it
+  };
+  struct Polled {
+    double at = -1;
+    nlohmann::json told;  // of GET /members; null while the node does not answer
+  };
+
+  explicit Cluster(const Options& options);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  std::size_t size() const { return nodes_.size(); }
+  static std::string Name(std::size_t i) { return std::string(1, static_cast<char>('a' + i)); }
+
+  // Processes. `alias`: another process under the id of member i, with files and ports of its own.
+  void Start(std::size_t i);
+  void StartAll();
+  void StartTwin(std::size_t i);
+  void Kill(std::size_t i);       // -9
+  void Terminate(std::size_t i);  // SIGTERM
+  void Stop(std::size_t i);       // SIGSTOP
+  void Continue(std::size_t i);
+  void TakeFolder(std::size_t i);  // after Kill
+  void BoundFiles(std::size_t i, std::uint64_t bytes) { nodes_[i].file_bytes = bytes; }
+  bool Running(std::size_t i);
+  int ExitCode(std::size_t i) const { return nodes_[i].exit_code; }
+  std::string Folder(std::size_t i) const { return nodes_[i].folder; }
+  std::string LogOf(std::size_t i) const;
+  std::string TwinLog() const;
+
+  // Links.
+  LinkFaults& link(std::size_t from, std::size_t to);
+  void EachLink(const std::function<void(LinkFaults*)>& what);
+  void Split(const std::vector<int>& group);  // members of different groups don't hear each other
+  void Heal();
+  // Sends bytes of ours to a member, as a stranger might, or again what went over a link before.
+  void Inject(std::size_t to, const std::string& datagram);
+  const std::vector<std::string>& Overheard() const { return overheard_; }
+
+  // Time and what is seen.
+  double now() const { return loop_.Now(); }
+  bool Until(const std::function<bool()>& done, double most_s);
+  void For(double s) {
+    Until([] { return false; }, s);
+  }
+  const Polled& polled(std::size_t i) const { return nodes_[i].polled; }
+  std::uint64_t Epoch(std::size_t i) const;
+  bool Leased(std::size_t i) const;
+  std::string StateAt(std::size_t at, std::size_t of) const;
+  // All that run have one view, with just these in it, hold a lease, and see each other alive.
+  bool Whole();
+  // Of all polls until now.
+  std::uint64_t FailedCalls(std::size_t of) const;  // how often some node said that this one failed
+  std::uint64_t highest_epoch() const { return highest_epoch_; }
+  const std::vector<std::string>& broken() const { return broken_; }
+  // A figure of /stats, by its name; -1 where it can't be had.
+  long Figure(std::size_t i, const std::string& name);
+  std::string Ask(std::size_t i, const std::string& call);  // at the admin address; the whole answer
+  std::string http_address(std::size_t i) const;
+  Loop& loop() { return loop_; }
+  membership::Random& random() { return random_; }
+
+ private:
+  friend class Link;
+  struct Node {
+    std::string folder;
+    int http = 0, admin = 0, cluster = 0;  // ports
+    pid_t pid = -1;
+    bool stopped = false;
+    int exit_code = -1;
+    std::uint64_t file_bytes = 0;
+    Polled polled;
+    std::unique_ptr<Raw> poll;
+    double poll_at = 0;
+    std::map<std::string, std::string> said;  // of each other: the last state
+  };
+  void WriteConfig(std::size_t i, const std::string& path, const Node& node);
+  void Launch(Node* node, const std::string& config);
+  void Poll();
+  void Take(std::size_t i, const std::string& answer);
+  void Reap(Node* node);
+
+  Options options_;
+  membership::Random random_;
+  Loop loop_;
+  std::string folder_;
+  std::vector<Node> nodes_;
+  Node twin_;
+  std::vector<std::unique_ptr<Link>> links_;
+  std::vector<std::string> overheard_;
+  std::map<std::uint64_t, std::string> contents_;  // of epochs
+  std::map<std::string, std::uint64_t> failed_calls_;
+  std::uint64_t highest_epoch_ = 0;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace millethollow::rig
+
+#endif  // MILLETHOLLOW_TESTS_CLUSTER_RIG_H_
