A worker taken out at one node of a cluster is out at all, also after a cut

Change: src/membership/facts: calls counted by life, a call back ends those its node knew (observed-remove), told at random and compared by digest; drains that discovery told to one node go round too. The admin address answers once another member has it, or says that none has. A starting node serves after its first comparison or 1 s.

--- a/src/codec/membership.cpp
+++ b/src/codec/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "codec/fields.h"
@@ -259,4 +260,52 @@
   return r.ok() ? std::optional(std::move(m)) : std::nullopt;
 }
 
+std::string Encode(const FactNews& n) {
+  Writer w;
+  w.Number(1, n.digest);
+  w.Number(2, n.number);
+  w.Number(3, n.answers);
+  w.Number(4, static_cast<std::uint8_t>(n.ask));
+  for (const Fact& f : n.facts) {
+    Writer fact;
+    fact.Text(1, f.worker);
+    for (const auto& [life, calls] : f.calls) {
+      Writer call;
+      call.Raw(life);
+      call.Raw(calls.first);
+      call.Raw(calls.second);
+      fact.Nested(2, call.bytes());
+    }
+    fact.Number(3, f.born_s);
+    fact.Number(4, f.down);
+    w.Nested(5, fact.bytes());
+  }
+  return w.Take();
+}
+
+std::optional<FactNews> DecodeFacts(std::string_view bytes) {
+  FactNews n;
+  Reader r(bytes);
+  while (r.Next()) {
+    if (r.field() == 1) n.digest = r.Raw<std::uint64_t>();
+    if (r.field() == 2) n.number = r.Raw<std::uint64_t>();
+    if (r.field() == 3) n.answers = r.Raw<std::uint64_t>();
+    if (r.field() == 4) n.ask = r.Raw<std::uint8_t>() != 0;
+    if (r.field() != 5 || n.facts.size() >= FactNews::kMost) continue;
+    Fact& f = n.facts.emplace_back();
+    Reader in(r.value());
+    while (in.Next()) {
+      if (in.field() == 1) f.worker = in.value();
+      if (in.field() == 3) f.born_s = in.Raw<double>();
+      if (in.field() == 4) f.down = std::min<std::uint8_t>(in.Raw<std::uint8_t>(), 2);
+      if (in.field() != 2 || f.calls.size() >= kMostCallers) continue;
+      const auto life = in.Raw<std::uint64_t>();
+      const auto out = in.Raw<std::uint32_t>();
+      f.calls[life] = {out, in.Raw<std::uint32_t>()};
+    }
+    if (!in.ok() || f.worker.empty() || f.worker.size() > kMostName) return std::nullopt;
+  }
+  return r.ok() ? std::optional(std::move(n)) : std::nullopt;
+}
+
 }  // namespace millethollow::codec
--- a/src/codec/membership.h
+++ b/src/codec/membership.h
@@ -11,7 +11,8 @@
 namespace millethollow::codec {
 
 // What bounds the memory that a frame can make us hold.
-constexpr std::size_t kMostMembers = 4096, kMostVoters = 16, kMostPlace = 64;
+constexpr std::size_t kMostMembers = 4096, kMostVoters = 16, kMostPlace = 64, kMostName = 256,
+                      kMostCallers = 64;
 
 std::uint64_t Hash(std::string_view text);  // XXH3, 64 bits; never 0
 
@@ -19,6 +20,8 @@
 std::optional<membership::Votes> DecodeVotes(std::string_view bytes);
 std::string Encode(const membership::Probe& probe);
 std::optional<membership::Probe> DecodeProbe(std::string_view bytes);
+std::string Encode(const membership::FactNews& news);
+std::optional<membership::FactNews> DecodeFacts(std::string_view bytes);
 std::string Encode(const membership::Message& message);
 std::optional<membership::Message> DecodeMessage(std::string_view bytes);
 
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -556,4 +556,15 @@
   if (member.readiness != Readiness::kReady) ListKnown(ListKind::kUpdate, {member});
 }
 
+void Planner::HeardDown(const std::string& next_hop, double born_s, bool gone) {
+  const auto it = next_hops_.find(next_hop);
+  if (it == next_hops_.end()) return;
+  decksail::Member member = it->second.member;
+  const Readiness told = gone ? Readiness::kGone : Readiness::kDraining;
+  if (member.readiness >= told) return;
+  member.born_s = born_s;
+  member.readiness = told;
+  ToldDown(member);
+}
+
 }  // namespace millethollow
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -83,6 +83,9 @@
   void OtherProcess(bool present, bool leaving);
   // The other was told that a next hop drains or is gone: so were we, unless we know a later start.
   void ToldDown(const decksail::Member& member);
+  // The same from another node, which names the start that it speaks of.
+  void HeardDown(const std::string& next_hop, double born_s, bool gone);
+  bool Knows(const std::string& next_hop) const { return next_hops_.contains(next_hop); }
 
   std::size_t open_envelopes() const { return ledger_.size(); }
   const scheduling::Desk& desk() const { return balancer_; }
--- a/src/membership/cluster.cpp
+++ b/src/membership/cluster.cpp
@@ -35,7 +35,8 @@
                   .voters = Ids(options, true),
                   .members = PlacesOf(options),
                   .timings = options.agreement},
-                 std::move(votes), seed ^ 0x9e3779b97f4a7c15ULL, now) {}
+                 std::move(votes), seed ^ 0x9e3779b97f4a7c15ULL, now),
+      facts_(options.self, options.life, options.facts, seed + 1, now) {}
 
 // Two processes under one id: who was there first is listened to until it is silent.
 bool Cluster::Listens(double now, NodeId from, Life life) {
@@ -70,6 +71,26 @@
   to->yield |= from->yield;
 }
 
+void Cluster::SendFacts(Actions* actions) {
+  for (auto& [to, news] : actions->facts.send) actions->send.emplace_back(to, std::move(news));
+  actions->facts.send.clear();
+}
+
+std::vector<NodeId> Cluster::Alive() const {
+  std::vector<NodeId> alive;
+  for (const Detector::Member& m : detector_.members()) {
+    if (m.id != options_.self && m.health <= Health::kSuspect) alive.push_back(m.id);
+  }
+  return alive;
+}
+
+std::uint64_t Cluster::Say(double now, const std::string& worker, bool out, Actions* actions) {
+  const std::uint64_t number = facts_.Say(now, worker, out, &actions->facts);
+  facts_.Tick(now, Alive(), &actions->facts);
+  SendFacts(actions);
+  return number;
+}
+
 void Cluster::Hear(double now, NodeId from, Life life, const Frame& frame, Actions* actions) {
   if (from == options_.self || agreement_.yielded()) return;
   if (!Listens(now, from, life)) {
@@ -86,6 +107,9 @@
     Detector::Actions a;
     detector_.Hear(now, from, *probe, &a);
     Take(&a, actions);
+  } else if (const auto* news = std::get_if<FactNews>(&frame)) {
+    facts_.Hear(now, from, *news, &actions->facts);
+    SendFacts(actions);
   } else {
     Agreement::Actions a;
     agreement_.Hear(now, from, life, std::get<Message>(frame), &a);
@@ -101,6 +125,8 @@
   Agreement::Actions a;
   agreement_.Tick(now, &a);
   Take(&a, actions);
+  if (facts_.NextAt() <= now) facts_.Tick(now, Alive(), &actions->facts);
+  SendFacts(actions);
 }
 
 void Cluster::Stored(double now, std::uint64_t ticket, Actions* actions) {
@@ -120,7 +146,7 @@
 
 double Cluster::NextAt() const {
   if (agreement_.yielded()) return std::numeric_limits<double>::infinity();
-  return std::min(detector_.NextAt(), agreement_.NextAt());
+  return std::min({detector_.NextAt(), agreement_.NextAt(), facts_.NextAt()});
 }
 
 double Cluster::Part(double now) const {
--- a/src/membership/cluster.h
+++ b/src/membership/cluster.h
@@ -11,10 +11,11 @@
 
 #include "membership/agreement.h"
 #include "membership/detector.h"
+#include "membership/facts.h"
 
 namespace millethollow::membership {
 
-using Frame = std::variant<Probe, Message>;
+using Frame = std::variant<Probe, Message, FactNews>;
 
 class Cluster {
  public:
@@ -29,6 +30,7 @@
     std::vector<MemberOptions> members;  // this one among them
     DetectorTimings detector;
     AgreementTimings agreement;
+    FactTimings facts;
     // Of one Nth that each member has while it is cut off, and that is kept back for it: 0 to 1.
     double cut_off_part = 0.5;
   };
@@ -38,6 +40,7 @@
     bool write = false;  // votes(), then Stored(ticket) or StoreFailed()
     std::uint64_t ticket = 0;
     bool new_view = false, yield = false;
+    Facts::Actions facts;
     // To where the frame came from, whatever address its sender has in the list.
     std::optional<Message> answer = std::nullopt;
   };
@@ -50,6 +53,11 @@
   void Stored(double now, std::uint64_t ticket, Actions* actions);
   void StoreFailed() { agreement_.StoreFailed(); }
   void Leave(double now, Actions* actions);
+  // A worker is taken out by hand or put back; as Facts::Say.
+  std::uint64_t Say(double now, const std::string& worker, bool out, Actions* actions);
+  void Told(double now, const std::string& worker, double born_s, bool gone) {
+    facts_.Told(now, worker, born_s, gone);
+  }
   double NextAt() const;
 
   // This member's part of what the whole cluster may do, 0 to 1. Over all members, whatever is cut,
@@ -57,6 +65,7 @@
   double Part(double now) const;
   const Detector& detector() const { return detector_; }
   const Agreement& agreement() const { return agreement_; }
+  const Facts& facts() const { return facts_; }
   const Options& options() const { return options_; }
 
  private:
@@ -70,10 +79,13 @@
   bool Listens(double now, NodeId from, Life life);
   void Take(Detector::Actions* from, Actions* to);
   void Take(Agreement::Actions* from, Actions* to);
+  void SendFacts(Actions* actions);
+  std::vector<NodeId> Alive() const;  // others
 
   Options options_;
   Detector detector_;
   Agreement agreement_;
+  Facts facts_;
   std::map<NodeId, Heard> heard_;
 };
 
--- a/src/net/admin/admin_server.cpp
+++ b/src/net/admin/admin_server.cpp
@@ -50,7 +50,7 @@
 
  private:
   void OnRead() override {
-    while (!answered_ && !closed()) {
+    while (!called_ && !closed()) {
       const std::string bytes = Peek(4 * 1024);
       if (bytes.empty()) return;
       Consume(parser_.Feed(bytes));
@@ -61,6 +61,7 @@
   }
 
   void Call(const http::Head& head) {
+    called_ = true;
     const std::string path = head.target.substr(0, head.target.find('?'));
     if (path == "/healthcheck" || path == "/stats") {
       if (head.method != "GET") return Respond(405, "", "Allow: GET\r\n");
@@ -78,8 +79,11 @@
       if (head.method != "PUT") return Respond(405, "", "Allow: PUT\r\n");
       const std::string worker =
           path.substr(kWorkers.size(), path.size() - kWorkers.size() - verb.size());
-      const bool known = server_->hooks_.maintain(worker, verb == "/maint");
-      return Respond(known ? 200 : 404, known ? "done\n" : "no such worker\n");
+      return server_->hooks_.maintain(
+          worker, verb == "/maint",
+          [this, here = std::weak_ptr(here_)](int status, const std::string& body) {
+            if (!here.expired() && !closed()) Respond(status, body);
+          });
     }
     Respond(404, "no such path\n");
   }
@@ -101,8 +105,9 @@
   }
 
   AdminServer* server_;
+  std::shared_ptr<bool> here_ = std::make_shared<bool>(true);  // an answer may come after us
   double began_at_;
-  bool answered_ = false;
+  bool called_ = false, answered_ = false;
   http::Parser parser_{http::Parser::Side::kRequest, {.head = 4 * 1024, .body = 4 * 1024}};
   Deadlines::Ticket limit_ = Deadlines::kNone;
 };
--- a/src/net/admin/admin_server.h
+++ b/src/net/admin/admin_server.h
@@ -18,8 +18,9 @@
   struct Hooks {
     std::function<bool()> serving;
     std::function<std::string()> figures;
-    // Takes a worker out, or puts it back; false if no such worker is known.
-    std::function<bool(const std::string& worker, bool out)> maintain;
+    // Takes a worker out, or puts it back, and says what to answer: at once, or later.
+    using Answer = std::function<void(int status, const std::string& body)>;
+    std::function<void(const std::string& worker, bool out, Answer answer)> maintain;
     std::function<std::string()> members;  // of the cluster, as JSON; none: there is no cluster
   };
   // Part of the descriptors that the budget leaves aside. Whoever comes beyond it costs the caller
--- a/src/net/cluster/frame.cpp
+++ b/src/net/cluster/frame.cpp
@@ -8,7 +8,7 @@
 namespace millethollow::cluster {
 namespace {
 
-enum Kind : std::uint8_t { kProbe = 1, kMessage = 2 };
+enum Kind : std::uint8_t { kProbe = 1, kMessage = 2, kFacts = 3 };
 
 std::uint64_t Word(std::string_view bytes, std::size_t at, std::size_t size) {
   std::uint64_t word = 0;
@@ -21,13 +21,12 @@
 }  // namespace
 
 std::string Encode(const Header& header, const membership::Frame& frame) {
-  const bool probe = std::holds_alternative<membership::Probe>(frame);
-  const std::string body = probe ? codec::Encode(std::get<membership::Probe>(frame))
-                                 : codec::Encode(std::get<membership::Message>(frame));
+  const std::string body = std::visit([](const auto& f) { return codec::Encode(f); }, frame);
+  constexpr Kind kKinds[] = {kProbe, kMessage, kFacts};  // as the variant has them
   codec::Writer w;
   w.Bytes("mh");
   w.Raw(kVersion);
-  w.Raw(static_cast<std::uint8_t>(probe ? kProbe : kMessage));
+  w.Raw(static_cast<std::uint8_t>(kKinds[frame.index()]));
   w.Raw(static_cast<std::uint32_t>(body.size()));
   w.Raw(header.cluster);
   w.Raw(header.from);
@@ -63,6 +62,10 @@
     auto message = codec::DecodeMessage(body);
     if (!message) return Fault::kUnknownKind;
     *frame = std::move(*message);
+  } else if (bytes[3] == kFacts) {
+    auto facts = codec::DecodeFacts(body);
+    if (!facts) return Fault::kUnknownKind;
+    *frame = std::move(*facts);
   } else {
     return Fault::kUnknownKind;
   }
--- a/src/net/cluster/member.cpp
+++ b/src/net/cluster/member.cpp
@@ -60,18 +60,20 @@
   return true;
 }
 
-Member::Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed)
+Member::Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed, Hooks hooks)
     : loop_(loop),
       options_(options),
+      hooks_(std::move(hooks)),
       seed_(seed),
       hash_(codec::Hash(options.name)),
       self_(codec::Hash(options.self)),
       transport_(loop, [this](std::string_view bytes, const sockaddr_in* source) {
-        Heard(bytes, source);
+        Receive(bytes, source);
       }) {}
 
 Member::~Member() {
   loop_->deadlines().Drop(&tick_);
+  for (auto& [number, waiting] : waiting_) loop_->deadlines().Drop(&waiting.limit);
   votes_.reset();  // its thread speaks to what follows
   woken_.reset();
   if (wake_ >= 0) close(wake_);
@@ -151,7 +153,7 @@
   CarryOut(&actions);
 }
 
-void Member::Heard(std::string_view bytes, const sockaddr_in* source) {
+void Member::Receive(std::string_view bytes, const sockaddr_in* source) {
   Header header;
   membership::Frame frame;
   switch (Decode(bytes, &header, &frame)) {
@@ -221,6 +223,12 @@
     Events().log(level, "cluster member={} health={} incarnation={} epoch={}", NameOf(c.who),
                  NameOfHealth(c.health), c.incarnation, view.epoch);
   }
+  for (const std::string& worker : actions->facts.out) hooks_.maintain(worker, true);
+  for (const std::string& worker : actions->facts.back) hooks_.maintain(worker, false);
+  for (const membership::Fact& f : actions->facts.down) {
+    hooks_.down(f.worker, f.born_s, f.down == 2);
+  }
+  for (const std::uint64_t number : actions->facts.heard_of) Answer(number, true);
   if (actions->new_view) {
     std::string members;
     for (const auto& m : view.members) members += (members.empty() ? "" : ",") + NameOf(m.id);
@@ -238,6 +246,38 @@
   Arm();
 }
 
+void Member::Say(const std::string& worker, bool out, Heard heard) {
+  membership::Cluster::Actions actions;
+  const std::uint64_t number = cluster_->Say(Now(), worker, out, &actions);
+  const bool anybody = !actions.send.empty();
+  Events().info("cluster worker={} out={} said-here", worker, out);
+  if (number != 0 && anybody) {
+    Waiting& waiting = waiting_[number];
+    waiting.heard = std::move(heard);
+    waiting.limit = loop_->deadlines().At(loop_->Now() + kHeardS, [this, number] {
+      waiting_[number].limit = Deadlines::kNone;
+      Answer(number, false);
+    });
+    return CarryOut(&actions);
+  }
+  CarryOut(&actions);
+  heard(false);
+}
+
+void Member::Answer(std::uint64_t number, bool elsewhere) {
+  const auto it = waiting_.find(number);
+  if (it == waiting_.end()) return;
+  loop_->deadlines().Drop(&it->second.limit);
+  const Heard heard = std::move(it->second.heard);
+  waiting_.erase(it);
+  heard(elsewhere);
+}
+
+void Member::Told(const std::string& worker, double born_s, bool gone) {
+  cluster_->Told(Now(), worker, born_s, gone);
+  Arm();
+}
+
 void Member::Leave() {
   if (!cluster_) return;
   membership::Cluster::Actions actions;
@@ -271,6 +311,7 @@
   count("leases", a.leases);
   count("lapses", a.lapses);
   count("conflicts", a.conflicts);
+  count("workers_out", cluster_->facts().AllOut().size(), 'g');
   count("frames_in", t.frames_in);
   count("frames_out", t.frames_out);
   count("bytes_in", t.bytes_in);
@@ -317,6 +358,7 @@
              {"part", cluster_->Part(now)},
              {"leader", NameOf(a.leader_known())},
              {"yielded", a.yielded()},
+             {"workers_out", cluster_->facts().AllOut()},
              {"members", std::move(members)}};
   if (options_.Self()->voter) whole["vote"] = NameOfState(a.voter().state());
   return whole.dump() + "\n";
--- a/src/net/cluster/member.h
+++ b/src/net/cluster/member.h
@@ -5,6 +5,7 @@
 
 #include <bitset>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,7 +30,16 @@
 
 class Member {
  public:
-  Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed);
+  // What others said, to be done here too.
+  struct Hooks {
+    std::function<void(const std::string& worker, bool out)> maintain;
+    std::function<void(const std::string& worker, double born_s, bool gone)> down;
+  };
+  // Of Say: whether another member has it now. False comes when nobody is there, or after kHeardS.
+  using Heard = std::function<void(bool elsewhere)>;
+  static constexpr double kHeardS = 0.7;  // a caller at the admin address waits 1 s
+
+  Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed, Hooks hooks);
   ~Member();
   Member(const Member&) = delete;
   Member& operator=(const Member&) = delete;
@@ -37,6 +47,13 @@
   bool Start(std::string* why);
   // Says that this process goes and gives its lease back.
   void Leave();
+  // An operator took a worker out at this node, or put it back: so it is at all.
+  void Say(const std::string& worker, bool out, Heard heard);
+  // Discovery told this node that a worker drains or is gone.
+  void Told(const std::string& worker, double born_s, bool gone);
+  bool Out(const std::string& worker) const { return cluster_->facts().Out(worker); }
+  // Does it know what the others know, or that nobody is there?
+  bool Synced() const { return cluster_->facts().synced(); }
 
   // With a clock read now, so that a stop that nobody noticed counts.
   bool Leased() const;
@@ -57,7 +74,12 @@
   };
 
   static double Now();  // of the machine, counts its pauses
-  void Heard(std::string_view bytes, const sockaddr_in* source);
+  struct Waiting {
+    Heard heard;
+    Deadlines::Ticket limit = Deadlines::kNone;
+  };
+  void Receive(std::string_view bytes, const sockaddr_in* source);
+  void Answer(std::uint64_t number, bool elsewhere);
   void CarryOut(membership::Cluster::Actions* actions);
   void Arm();
   void Tick();
@@ -66,6 +88,7 @@
 
   Loop* loop_;
   ClusterOptions options_;
+  Hooks hooks_;
   std::uint64_t seed_, hash_;
   membership::NodeId self_;
   membership::Life life_ = 0;
@@ -75,6 +98,7 @@
   std::map<membership::NodeId, Window> windows_;
   std::map<membership::NodeId, std::uint64_t> numbers_;
   Refusals refusals_;
+  std::map<std::uint64_t, Waiting> waiting_;  // who said something, by its number
   Deadlines::Ticket tick_ = Deadlines::kNone;
   bool was_leased_ = false;
   // What the writer's thread has done.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -17,6 +17,7 @@
 constexpr double kStopCheckS = 0.02;
 constexpr double kTurnedAwayS = 0.5;  // advised to senders when there is no planner
 constexpr double kFlushS = 2.0;
+constexpr double kSyncS = 1.0, kSyncCheckS = 0.02;
 constexpr double kLeftOutS = 1.2;    // what is on its way when its class ends is still taken
 const std::string kNoName(1, '\n');  // none that a header can hold
 
@@ -70,8 +71,7 @@
   if (role_.kind != Role::Kind::kForwarder && !StartPlanner(seed, why)) return false;
   if (role_.kind == Role::Kind::kForwarder) client_->Start();
   if (config_.cluster.on()) {
-    member_ = std::make_unique<cluster::Member>(&loop_, config_.cluster, std::random_device{}());
-    if (!member_->Start(why)) return false;
+    if (!StartMember(why)) return false;
   }
   if (!config_.admin.empty()) {
     admin_ = std::make_unique<admin::AdminServer>(
@@ -79,8 +79,11 @@
         admin::AdminServer::Hooks{
             .serving = [this] { return planner_ != nullptr && !stopping_; },
             .figures = [this] { return Figures(); },
-            .maintain = [this](const std::string& worker,
-                               bool out) { return Maintain(worker, out); },
+            .maintain =
+                [this](const std::string& worker, bool out,
+                       admin::AdminServer::Hooks::Answer answer) {
+                  MaintainAtAll(worker, out, std::move(answer));
+                },
             .members = member_ ? std::function<std::string()>([this] { return member_->Json(); })
                                : nullptr});
     if (!admin_->Listen(config_.admin, why)) return false;
@@ -101,6 +104,28 @@
   return true;
 }
 
+bool Node::StartMember(std::string* why) {
+  cluster::Member::Hooks hooks;
+  hooks.maintain = [this](const std::string& worker, bool out) { Maintain(worker, out); };
+  hooks.down = [this](const std::string& worker, double born_s, bool gone) {
+    planner_->HeardDown(worker, born_s, gone);
+  };
+  member_ = std::make_unique<cluster::Member>(&loop_, config_.cluster, std::random_device{}(),
+                                              std::move(hooks));
+  if (!member_->Start(why)) return false;
+  if (front_) front_->SetServing(false);
+  ServeOnceSynced(loop_.Now() + kSyncS);
+  return true;
+}
+
+// What the others hold out is out here before the first request; where nobody answers, it is
+// served.
+void Node::ServeOnceSynced(double until) {
+  if (stopping_ || !front_) return;
+  if (member_->Synced() || loop_.Now() >= until) return front_->SetServing(true);
+  loop_.deadlines().At(loop_.Now() + kSyncCheckS, [this, until] { ServeOnceSynced(until); });
+}
+
 bool Node::StartPlanner(std::uint64_t seed, std::string* why) {
   if (role_.kind == Role::Kind::kPlanner) config_.name += "-p" + std::to_string(role_.index);
   if (role_.kind == Role::Kind::kPlanner && config_.planners > 1) {
@@ -324,7 +349,20 @@
 void Node::OnList(decksail::ListKind kind, const TransportMap& list) {
   counters_.lists += 1;
   for (const ListEntry& e : list.entries) SetAddress(e.member.worker, e.address, e.most_out);
+  for (const ListEntry& e : list.entries) {
+    if (!member_ || !member_->Out(e.member.worker) || planner_->Knows(e.member.worker)) continue;
+    // Taken out at another node before it was known here: it comes in without ever being free.
+    decksail::Member first = e.member;
+    first.readiness = decksail::Readiness::kDraining;
+    planner_->ListKnown(decksail::ListKind::kUpdate, {first});
+    Maintain(e.member.worker, true);
+  }
   planner_->ListKnown(kind, list.Members());
+  for (const ListEntry& e : list.entries) {
+    const bool gone = e.member.readiness == decksail::Readiness::kGone;
+    if (!member_ || e.member.readiness == decksail::Readiness::kReady) continue;
+    member_->Told(e.member.worker, e.member.born_s, gone);
+  }
   if (succession_) succession_->TellDown();
 }
 
@@ -334,6 +372,15 @@
   return true;
 }
 
+void Node::MaintainAtAll(const std::string& next_hop, bool out,
+                         admin::AdminServer::Hooks::Answer answer) {
+  if (!Maintain(next_hop, out)) return answer(404, "no such worker\n");
+  if (!member_) return answer(200, "done\n");
+  member_->Say(next_hop, out, [answer = std::move(answer)](bool elsewhere) {
+    answer(200, elsewhere ? "done\n" : "done here; no other member has heard of it yet\n");
+  });
+}
+
 void Node::BeginStop() {
   if (stopping_) return;
   stopping_ = true;
--- a/src/node.h
+++ b/src/node.h
@@ -45,6 +45,8 @@
   void BeginStop();
   // An operator takes a next hop out, or puts it back; false if it is not known.
   bool Maintain(const std::string& next_hop, bool out);
+  void MaintainAtAll(const std::string& next_hop, bool out,
+                     admin::AdminServer::Hooks::Answer answer);
   void PrintCounters(std::ostream& out) const;
   std::string Figures() const;  // one a line, as at the second address
   std::string admin_address() const { return admin_->address(); }
@@ -60,6 +62,8 @@
   void SetAddress(const std::string& next_hop, const std::string& address, std::size_t most_out);
   void OnList(decksail::ListKind kind, const TransportMap& list);
   void CheckStopped();
+  bool StartMember(std::string* why);
+  void ServeOnceSynced(double until);
   http::Names NamesNow() const;
 
   Config config_;
--- a/tests/cluster/membership_test.cpp
+++ b/tests/cluster/membership_test.cpp
@@ -235,5 +235,63 @@
   EXPECT_NE(rig->polled(2).told["vote"].get<std::string>(), "");
 }
 
+// Every node is asked; none may use a worker that was taken out at one of them.
+TEST_F(Nodes, AWorkerOutByHandIsOutAtAllSurvivesAndMergesAfterACut) {
+  Loop workers_loop;  // looked after between the rig's turns
+  ToyWorker first(&workers_loop), second(&workers_loop);
+  Begin({.members = 4, .voters = 3, .seed = 16, .workers = {first.address(), second.address()}});
+  const auto ask_all = [&] {
+    for (std::size_t i = 0; i < rig->size(); ++i) {
+      if (!rig->Running(i)) continue;
+      for (int n = 0; n < 6; ++n) {
+        Raw client(&rig->loop(), rig->http_address(i));
+        client.Write(Post("r" + std::to_string(rig->random().Word()), "look"));
+        const auto answered = [&] {
+          workers_loop.deadlines().At(workers_loop.Now() + 0.0005, [] {});
+          workers_loop.Turn();
+          return client.ended || client.in.find("\r\n\r\n") != std::string::npos;
+        };
+        EXPECT_TRUE(rig->Until(answered, 5)) << client.in;
+        EXPECT_TRUE(client.in.starts_with("HTTP/1.1 200")) << client.in;
+      }
+    }
+  };
+  const auto unused = [&] {
+    const std::size_t before = first.got.size();
+    ask_all();
+    return first.got.size() == before;
+  };
+  EXPECT_FALSE(unused());
+  EXPECT_NE(rig->Ask(0, "PUT /workers/w0/maint").find("done\n"), std::string::npos);
+  rig->For(0.5);
+  EXPECT_TRUE(unused()) << "at none of the nodes";
+  rig->Kill(0);
+  EXPECT_TRUE(unused()) << "who said it is dead";
+  rig->Start(0);
+  EXPECT_TRUE(rig->Until([&] { return rig->Whole(); }, 10));
+  EXPECT_TRUE(unused()) << "who said it is back, and knows nothing";
+  rig->Split({0, 0, 1, 1});
+  rig->For(3);
+  EXPECT_NE(rig->Ask(3, "PUT /workers/w0/ready").find("200 OK"), std::string::npos);
+  EXPECT_NE(rig->Ask(0, "PUT /workers/w0/maint").find("200 OK"), std::string::npos);
+  const auto held_out = [&](std::size_t i, std::size_t workers) {
+    const auto& told = rig->polled(i).told;
+    return told.is_object() && told["workers_out"].size() == workers;
+  };
+  EXPECT_TRUE(rig->Until([&] { return held_out(3, 0) && held_out(0, 1); }, 5)) << "cut";
+  rig->Heal();
+  EXPECT_TRUE(rig->Until([&] {
+    return held_out(0, 1) && held_out(1, 1) && held_out(2, 1) && held_out(3, 1);
+  }, 20));
+  EXPECT_TRUE(unused()) << "out on one side, back on the other: out";
+  EXPECT_NE(rig->Ask(2, "PUT /workers/w0/ready").find("200 OK"), std::string::npos);
+  EXPECT_TRUE(rig->Until([&] { return held_out(0, 0) && held_out(3, 0); }, 5));
+  // It comes back as one that has just started, which has its part only by and by.
+  const double until = rig->now() + 15;
+  bool used = false;
+  while (!used && rig->now() < until) used = !unused();
+  EXPECT_TRUE(used) << "called back later";
+}
+
 }  // namespace
 }  // namespace millethollow::rig
--- a/tests/cluster/rig.cpp
+++ b/tests/cluster/rig.cpp
@@ -222,7 +222,7 @@
 }
 
 void Cluster::WriteConfig(std::size_t i, const std::string& path, const Node& node) {
-  nlohmann::json config = nlohmann::json::parse(TestConfig({}, options_.more));
+  nlohmann::json config = nlohmann::json::parse(TestConfig(options_.workers, options_.more));
   nlohmann::json members = nlohmann::json::array();
   for (std::size_t m = 0; m < nodes_.size(); ++m) {
     int port = node.cluster;
--- a/tests/cluster/rig.h
+++ b/tests/cluster/rig.h
@@ -38,6 +38,7 @@
     // Half of the defaults, so that CI takes half as long.
     std::string timings = R"({"beat_s": 0.12, "election_s": 0.6, "lease_s": 2, "renew_s": 0.25,
                               "view_gap_s": 0.5, "return_s": 0.5})";
+    std::vector<std::string> workers = {};  // their addresses
     std::string more = {};       // further top-level keys, each with a comma after it
   };
   struct Polled {
--- a/tests/membership_world.h
+++ b/tests/membership_world.h
@@ -84,6 +84,26 @@
     nodes_[i].paused_until = now_ + s;
     if (o_.planted.lease_by_wall_clock) nodes_[i].offset -= s * nodes_[i].rate;
   }
+  void Say(std::size_t i, const std::string& worker, bool out) {
+    Node& n = nodes_[i];
+    if (!n.cluster || n.paused_until > now_) return;
+    Cluster::Actions actions;
+    n.cluster->Say(Local(n), worker, out, &actions);
+    CarryOut(i, &actions);
+    Arm(i);
+  }
+  bool Out(std::size_t i, const std::string& worker) const {
+    return up(i) && nodes_[i].cluster->facts().Out(worker);
+  }
+  // Do all that are there hold the same workers out?
+  bool FactsAgree() const {
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (!up(i)) continue;
+      const Facts& facts = nodes_[i].cluster->facts();
+      if (facts.digest() != nodes_[FirstUp()].cluster->facts().digest()) return false;
+    }
+    return true;
+  }
   void Cut(std::size_t from, std::size_t to, bool cut) { cut_[from][to] = cut; }
   void CutBoth(std::size_t a, std::size_t b, bool cut) { cut_[a][b] = cut_[b][a] = cut; }
   void Heal() {
