Quotas, the fleet's rate and cold budgets follow the agreed view's parts

Change: where a cluster is on, a dispatcher takes its rates as a part of the whole: its even part by the view, or by demand while all of one view hear each other (reports carry both in spare bits); without a lease the part kept back for it. A share falls at once and rises only after others had time to hear. Off, nothing changes: one test of a flag a report. Not shown yet: the sums of admissions and of sends to a cold worker with whole modules.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,17 @@
 
 run: build
 	$(BUILD)/millethollow --config $(CONFIG)
+
+# Membership: ten thousand days on a virtual clock, whole minutes of faults on processes, figures.
+SEEDS ?= 10000
+.PHONY: cluster-test cluster-figures
+cluster-test:
+	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-cluster -j4 --target membership_tests cluster_tests
+	SEEDS=$(SEEDS) build-cluster/tests/membership_tests --gtest_filter='AgreementDays.Keep*:Facts*'
+	LONG=1 build-cluster/tests/cluster_tests
+
+cluster-figures:
+	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-cluster -j4 --target membership_tests
+	build-cluster/tests/membership_tests --gtest_also_run_disabled_tests --gtest_filter='DetectorFigures*'
--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -261,6 +261,15 @@
 
 class Brain;
 
+// What a dispatcher may do of the whole where the tier agrees on parts.
+struct Parts {
+  double part = 0;          // 0 to 1; over all dispatchers never more than 1 in sum
+  int members = 0;          // how many have such a part by agreement; 0: this one is cut off
+  std::uint64_t epoch = 0;  // of the agreement
+  bool stopped = false;     // no event came for a second, as where the process was stopped
+  bool operator==(const Parts&) const = default;
+};
+
 // One dispatcher's decisions. Equal settings, seed and events give equal actions.
 class Balancer {
  public:
@@ -281,6 +290,8 @@
   std::uint64_t version() const;
   std::vector<WorkerView> Workers() const;
   double DemandPart() const;  // this dispatcher's part of all demand, 0 to 1
+  // Where the tier agrees on parts: from now on. Never called, demand alone decides.
+  void Agree(const Parts& parts);
   // What has been learned, for the process that replaces this one, which takes it before its first
   // event. `classes` says for each of its classes which of the other's it is, -1: none. False, and
   // nothing taken, where the text is not from settings of the same form.
--- /dev/null
+++ b/src/agreed_part.h
@@ -0,0 +1,98 @@
+// What a dispatcher may do of the whole where the tier agrees on parts (a cluster): its even part,
+// or by demand while all hear each other. Off, until a part is set, nothing is other than without
+// it.
+#ifndef DECKSAIL_SRC_AGREED_PART_H_
+#define DECKSAIL_SRC_AGREED_PART_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "decksail/balancer.h"
+
+namespace decksail {
+
+class AgreedPart {
+ public:
+  bool on() const { return part_ >= 0; }
+  double part() const { return part_; }
+  // All others of the agreed view were heard of late: told to peers, who heed it.
+  bool hears_all() const { return hears_all_; }
+
+  // Nothing was done here for longer: others may have ceased to hear this one since, and taken up
+  // what it does not know of.
+  static constexpr double kStoppedS = 1.0;
+  void Set(const Parts& parts) {
+    const bool by_demand = by_demand_ && parts.members > 0 && !parts.stopped;
+    falls_ = shares_;
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      // By demand: newcomers of the view have their part from now on, whoever stays makes room for
+      // it.
+      double share = std::min(shares_[i], parts.part);
+      if (by_demand) share = shares_[i] * std::min(1.0, parts.part / reckoned_);
+      falls_[i] = shares_[i] > 0 ? share / shares_[i] : 1;
+      shares_[i] = share;
+    }
+    reckoned_ = std::min(reckoned_, parts.part);
+    part_ = parts.part;
+    members_ = parts.members;
+    // Six bits in a report tell one view from those shortly before and after it.
+    view_ = parts.members == 0 ? 0 : static_cast<std::uint8_t>(1 + parts.epoch % 63);
+    if (parts.stopped) {
+      by_demand_ = false;
+      changed_ = true;
+    }
+  }
+  // By how much a rate that was reckoned before the last Set is to fall: 0 to 1.
+  double Fall(std::size_t i) const { return i < falls_.size() ? falls_[i] : 1; }
+  std::uint8_t view() const { return view_; }  // for the reports; 0: cut off
+
+  // The whole tier's rates, as this dispatcher has to take them so that its share of them is what
+  // it may have. `all`: own rates and those of the `heard` others that were heard of late;
+  // `others_hear`: each of these hears all. A share falls at once, but when the way to reckon
+  // changes it rises only after `hold_s`: by then others, who may reckon in the other way yet, have
+  // heard of it.
+  std::vector<double> Fleet(double now, double hold_s, const std::vector<double>& own,
+                            const std::vector<double>& all, int heard, bool others_hear) {
+    hears_all_ = members_ > 1 && heard >= members_ - 1;
+    const bool by_demand = hears_all_ && others_hear;
+    if (by_demand != by_demand_ || std::exchange(changed_, false)) changed_at_ = now;
+    by_demand_ = by_demand;
+    if (shares_.size() != own.size()) shares_.assign(own.size(), part_);
+    std::vector<double> fleet(own.size());
+    reckoned_ = part_;
+    for (std::size_t i = 0; i < own.size(); ++i) {
+      double share = part_;
+      if (by_demand && all[i] > 0) share = part_ * members_ * own[i] / all[i];
+      if (now - changed_at_ < hold_s) share = std::min(share, shares_[i]);
+      shares_[i] = share;
+      fleet[i] = own[i] / std::max(share, kLeast);
+    }
+    return fleet;
+  }
+
+  // What a warm worker carries of this dispatcher's sends: `mine` by its own count, `all` by that
+  // of all that are heard. Cut off, not more than its share of what all had there before.
+  double Carried(double mine, double all, std::size_t sends) {
+    if (!on()) return mine;
+    if (by_demand_) {
+      carried_ = std::max(carried_ * kFade, all);
+      return mine;
+    }
+    const bool known = carried_ > 0 && sends < shares_.size();
+    return known ? std::min(mine, shares_[sends] * carried_) : mine;
+  }
+
+ private:
+  static constexpr double kLeast = 1e-6, kFade = 0.99;
+  double part_ = -1, reckoned_ = -1, changed_at_ = -1e18, carried_ = 0;
+  int members_ = 0;
+  std::uint8_t view_ = 0;
+  bool hears_all_ = false, by_demand_ = false, changed_ = false;
+  std::vector<double> shares_, falls_;  // by rate, as last reckoned
+};
+
+}  // namespace decksail
+
+#endif  // DECKSAIL_SRC_AGREED_PART_H_
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -23,6 +23,7 @@
 void Balancer::KeepRoom(RoomKeeper* room) { brain_->KeepRoom(room); }
 std::uint64_t Balancer::version() const { return brain_->version(); }
 std::vector<WorkerView> Balancer::Workers() const { return brain_->Views(); }
+void Balancer::Agree(const Parts& parts) { brain_->Agree(parts); }
 double Balancer::DemandPart() const { return brain_->DemandPart(); }
 
 }  // namespace decksail
--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -162,7 +162,39 @@
     if (slots > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
   }
   return EncodeReport({fresh, rate_ == kInf ? 0.0 : rate_, direct_ ? own_ : mean_, std::move(out),
-                       std::move(counts)});
+                       std::move(counts), agreed_.hears_all(), agreed_.view()});
+}
+
+std::vector<double> Brain::Fleet() {
+  const double since = now_ - kStaleReports * interval_;
+  if (!agreed_.on()) {
+    return direct_ ? peers_.Fleet(own_, s_.ordinal, since) : Times(mean_, s_.dispatchers);
+  }
+  if (!direct_) return Times(mean_, 1 / std::max(agreed_.part(), 1e-6));
+  std::vector<double> all = own_;
+  int heard = 0;
+  bool others_hear = true;
+  for (std::size_t p = 0; p < peers_.rows.size(); ++p) {
+    const Peer& peer = peers_.rows[p];
+    if (static_cast<int>(p) == s_.ordinal || peer.heard_at <= since) continue;
+    if (peer.view == 0 || peer.view != agreed_.view()) continue;
+    heard += 1;
+    others_hear = others_hear && peer.hears_all;
+    for (std::size_t i = 0; i < all.size(); ++i) all[i] += peer.values[i];
+  }
+  all_sends_ = all[Idx(tenants_)];
+  return agreed_.Fleet(now_, (kStaleReports + 2) * interval_, own_, all, heard, others_hear);
+}
+
+double Brain::Carried(double mine) {
+  return agreed_.Carried(mine, all_sends_ / std::max(1, ready_), Idx(tenants_));
+}
+
+void Brain::Agree(const Parts& parts) {
+  agreed_.Set(parts);
+  for (std::size_t b = 0; b < buckets_.size(); ++b) {
+    if (buckets_[b].rate != kInf) buckets_[b].rate *= agreed_.Fall(b % Idx(tenants_));
+  }
 }
 
 std::vector<WorkerView> Brain::Views() const {
@@ -189,6 +221,7 @@
   };
   const double all = direct_ ? sum(peers_.Fleet(own_, s_.ordinal, now_ - kStaleReports * interval_))
                              : s_.dispatchers * sum(mean_);
+  if (agreed_.on()) return agreed_.part();
   const double even = 1.0 / std::max(1, s_.dispatchers);
   return all > 0 && measured_ ? std::clamp(sum(own_) / all, even / 4, 1.0) : even;
 }
--- a/src/brain.h
+++ b/src/brain.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "agreed_part.h"
 #include "decksail/balancer.h"
 #include "policy/tuning.h"
 #include "state.h"
@@ -37,6 +38,7 @@
   std::uint64_t version() const { return version_; }
   std::vector<WorkerView> Views() const;
   double DemandPart() const;
+  void Agree(const Parts& parts);
 
  private:
   friend struct Carry;  // hands what was learned to the process that replaces this one
@@ -62,6 +64,9 @@
 
   // Fleet rate.
   void Control(double span);
+  std::vector<double> Fleet();  // what the tier reports in all
+  // Sends that a warm worker carries, where `mine` are this dispatcher's own.
+  double Carried(double mine);
   const ClassSettings& ClassOf(int c) const { return s_.classes[Idx(c)]; }
 
   // What all learn together in a large tier, after the rates: workers asked and those that had
@@ -162,6 +167,8 @@
   std::vector<double> own_, mean_;
   PeerTable peers_;
   Mate mate_;
+  AgreedPart agreed_;
+  double all_sends_ = 0;  // of those heard, as of the last report
   // Fleet rate.
   double rate_ = kInf, next_cut_ = 0;
   // Workers.
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "agreed_part.h"
+
 namespace millethollow {
 
 using decksail::Group;
@@ -82,6 +84,13 @@
 
 void Planner::Deliver(const decksail::Event& event) {
   decksail::Actions actions;
+  if (hooks_.parts) {
+    decksail::Parts parts = hooks_.parts();
+    parts.stopped = hooks_.now() - parts_at_ > decksail::AgreedPart::kStoppedS;
+    if (parts != parts_) balancer_.Agree(parts);
+    parts_ = parts;
+    parts_at_ = hooks_.now();
+  }
   balancer_.Handle(hooks_.now(), event, &actions);
   for (const decksail::Action& action : actions) {
     std::visit([this](const auto& a) { Do(a); }, action);
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -31,6 +31,7 @@
     std::function<void()> fetch_list = [] {};
     std::function<void(int, const std::string&)> tell_peer = [](int, const std::string&) {};
     std::function<void(const std::string&)> log = [](const std::string&) {};
+    std::function<decksail::Parts()> parts;  // where nodes agree on them; none: no cluster
     std::function<void(const std::string&)> took = [](const std::string&) {};  // a Request-Id
   };
 
@@ -161,6 +162,8 @@
   std::map<std::string, NextHop> next_hops_;
   std::deque<std::function<void()>> queue_;
   bool running_ = false;
+  decksail::Parts parts_;  // as last agreed on, where nodes do
+  double parts_at_ = 0;
   std::size_t pending_ = 0;
   std::vector<std::string> class_names_;
   std::vector<bool> class_live_;
--- a/src/net/cluster/member.cpp
+++ b/src/net/cluster/member.cpp
@@ -287,7 +287,12 @@
 
 bool Member::Leased() const { return cluster_ && cluster_->agreement().Leased(Now()); }
 double Member::LeaseLeft() const { return cluster_ ? cluster_->agreement().LeaseLeft(Now()) : 0; }
-double Member::Part() const { return cluster_ ? cluster_->Part(Now()) : 1; }
+decksail::Parts Member::Parts() const {
+  const double now = Now();
+  const membership::Agreement& a = cluster_->agreement();
+  const int members = a.Leased(now) ? static_cast<int>(a.view().members.size()) : 0;
+  return {.part = cluster_->Part(now), .members = members, .epoch = a.view().epoch};
+}
 
 std::string Member::Figures() const {
   std::ostringstream out;
--- a/src/net/cluster/member.h
+++ b/src/net/cluster/member.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "config/cluster.h"
+#include "decksail/balancer.h"
 #include "membership/cluster.h"
 #include "net/cluster/frame.h"
 #include "net/cluster/transport.h"
@@ -57,8 +58,8 @@
 
   // With a clock read now, so that a stop that nobody noticed counts.
   bool Leased() const;
-  double LeaseLeft() const;  // seconds
-  double Part() const;       // of what the whole cluster may do
+  double LeaseLeft() const;       // seconds
+  decksail::Parts Parts() const;  // of what the whole cluster may do
   const membership::Cluster& decisions() const { return *cluster_; }
   std::string Figures() const;  // one a line, as at the second address
   std::string Json() const;     // of GET /members
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -155,6 +155,9 @@
   hooks.took = [this](const std::string& id) {
     if (succession_) succession_->TellId(id);
   };
+  if (config_.cluster.on()) {
+    hooks.parts = [this] { return member_ ? member_->Parts() : decksail::Parts{}; };
+  }
   hooks.log = [](const std::string& line) { LogLine(Level::kWarn) << "planner: " << line; };
   planner_ = std::make_unique<Planner>(config_.settings, seed, &loop_.deadlines(), hooks,
                                        &counters_, config_.scheduling);
--- a/src/policy/fleet_rate.cpp
+++ b/src/policy/fleet_rate.cpp
@@ -20,9 +20,7 @@
 
 void Brain::Control(double span) {
   // What live dispatchers report in all, those not yet heard taken as the average one.
-  const std::vector<double> fleet =
-      direct_ ? peers_.Fleet(own_, s_.ordinal, now_ - kStaleReports * interval_)
-              : Times(mean_, s_.dispatchers);
+  const std::vector<double> fleet = Fleet();
   const double sends = fleet[Idx(tenants_)], fulls = fleet[Idx(tenants_ + 1)];
   const double lates = fleet[Idx(tenants_ + 2)];
   std::vector<double> part(Idx(tenants_), 0.0);  // by tenant, at first what is told and asked for
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -97,7 +97,7 @@
   // What a worker carries in good times; low sends after a cut say nothing of capacity.
   // In a large tier what all send on average says more: a node just back has sent nothing yet.
   const double sent = std::max(own_[Idx(tenants_)], direct_ ? 0.0 : mean_[Idx(tenants_)]);
-  carried_ = std::max(carried_ * std::exp(-span / kCarriedS), sent / std::max(1, ready_));
+  carried_ = Carried(std::max(carried_ * std::exp(-span / kCarriedS), sent / std::max(1, ready_)));
   measured_ = true;
   if (mate_.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
   if (s_.peers && s_.dispatchers > 1 && !mate_.leaving) {
@@ -113,14 +113,15 @@
 void Brain::On(const PeerMessage& e) {
   UsageReport report;
   if (e.sender == s_.ordinal && DecodeReport(e.body, own_.size(), &report)) {
-    peers_.mate = {now_, {}, std::move(report.out)};
+    peers_.mate = {now_, {}, std::move(report.out), false, 0};
     return SumOthers();
   }
   const bool peer = e.sender >= 0 && e.sender < s_.dispatchers && e.sender != s_.ordinal;
   if (!s_.peers || !peer || !DecodeReport(e.body, own_.size(), &report)) return;
   heard_peers_ = true;
   if (direct_) {
-    peers_.rows[Idx(e.sender)] = {now_, std::move(report.rates), std::move(report.out)};
+    peers_.rows[Idx(e.sender)] = {now_, std::move(report.rates), std::move(report.out),
+                                  report.hears_all, report.view};
     SumOthers();
   } else {
     for (std::size_t i = 0; i < mean_.size(); ++i) mean_[i] = (mean_[i] + report.rates[i]) / 2;
--- a/src/state.h
+++ b/src/state.h
@@ -187,6 +187,9 @@
   double heard_at = -kInf;
   std::vector<double> values;
   std::vector<std::pair<std::uint16_t, int>> out;  // slots out by worker
+  // Where parts are agreed on: it hears all that have one, and the view that it has its part in.
+  bool hears_all = false;
+  std::uint8_t view = 0;
 };
 
 // The latest reports of peers, one row each.
--- a/src/support.cpp
+++ b/src/support.cpp
@@ -36,7 +36,8 @@
 }  // namespace
 
 std::string EncodeReport(const UsageReport& report) {
-  std::string out{kMagic, kVersion, static_cast<char>(report.fresh ? 1 : 0),
+  std::string out{kMagic, kVersion, static_cast<char>((report.fresh ? 1 : 0) | (report.hears_all ? 2 : 0) |
+                                                       report.view << 2),
                   static_cast<char>(report.rates.size())};
   PutReal(&out, report.rate);
   for (const double v : report.rates) PutReal(&out, v);
@@ -64,6 +65,8 @@
     return false;
   }
   report->fresh = (body[2] & 1) != 0;
+  report->hears_all = (body[2] & 2) != 0;
+  report->view = static_cast<std::uint8_t>(static_cast<unsigned char>(body[2]) >> 2);
   if (!GetReal(body, 4, &report->rate)) return false;
   report->rates.assign(rates, 0);
   std::size_t at = kHead;
--- a/src/support.h
+++ b/src/support.h
@@ -169,6 +169,10 @@
   // out at are left out.
   std::vector<std::pair<std::uint16_t, int>> out;
   std::vector<Usage> usage;  // buckets used since the last report, as many as fit
+  // Where parts are agreed on: the sender hears all that have one, and the view that it has its part
+  // in, six bits of it; 0: it is cut off.
+  bool hears_all = false;
+  std::uint8_t view = 0;
 };
 
 std::string EncodeReport(const UsageReport& report);
