Frames, votes on disk and the cluster section are tested at their edges

Need: bad bytes, a cut or foreign file of votes and each mistake in the section must be a count or one line.

--- /dev/null
+++ b/tests/cluster_parts_test.cpp
@@ -0,0 +1,227 @@
+// The parts of a cluster around its decisions: frames, the votes' file, the section of the configuration.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <sstream>
+
+#include "codec/fields.h"
+#include "codec/membership.h"
+#include "config/cluster.h"
+#include "net/cluster/frame.h"
+#include "store/vote_file.h"
+
+namespace millethollow {
+namespace {
+
+using membership::Message;
+using membership::Probe;
+
+membership::Frame AMessage() {
+  Message m;
+  m.kind = Message::Kind::kPromise;
+  m.ballot = {7, 2};
+  m.accepted_by = {6, 1};
+  m.view = {.epoch = 9, .members = {{1, 11, "rack-1", 3}, {2, 12, "", 9}}, .settled = 8};
+  m.mind = {2, 77};
+  m.minds = {{1, {1, 5}}, {2, {2, 77}}};
+  m.quorum = {{1, {1, 5}}};
+  m.asked_at = 12.5;
+  m.origin = 3;
+  m.yes = true;
+  return m;
+}
+
+membership::Frame AProbe() {
+  return Probe{.kind = Probe::Kind::kAck, .seq = 4, .about = 2, .incarnation = 3, .digest = 99,
+               .news = {{5, 6, membership::Health::kSuspect, 1}, {2, 0, membership::Health::kLeft, 0}}};
+}
+
+membership::Frame SomeFacts() {
+  membership::FactNews n;
+  n.number = 4;
+  n.ask = true;
+  n.facts = {{"w0", {{11, {2, 1}}}, 1700000000.5, 2}};
+  return n;
+}
+
+std::string Again(const membership::Frame& frame) {
+  cluster::Header header;
+  membership::Frame read;
+  const std::string bytes = cluster::Encode({.cluster = 1, .from = 2, .life = 3, .number = 4}, frame);
+  EXPECT_EQ(cluster::Decode(bytes, &header, &read), cluster::Fault::kNone);
+  EXPECT_EQ(header.life, 3U);
+  EXPECT_EQ(cluster::Encode(header, read), bytes) << "all of it came through";
+  return bytes;
+}
+
+TEST(ClusterFrame, IsReadAsItWasWrittenAndNotWhereAByteIsOff) {
+  std::uint64_t word = 1;
+  for (const membership::Frame& frame : {AMessage(), AProbe(), SomeFacts()}) {
+    const std::string bytes = Again(frame);
+    cluster::Header header;
+    membership::Frame read;
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+      EXPECT_NE(cluster::Decode(bytes.substr(0, n), &header, &read), cluster::Fault::kNone) << n;
+      std::string off = bytes;
+      off[n] ^= static_cast<char>(1 + (word = word * 6364136223846793005ULL + 1) % 255);
+      EXPECT_NE(cluster::Decode(off, &header, &read), cluster::Fault::kNone) << n;
+    }
+  }
+}
+
+TEST(ClusterFrame, FieldsOfALaterBuildAreSkippedAndGarbageIsOutlived) {
+  const std::string bytes = codec::Encode(std::get<Message>(AMessage()));
+  codec::Writer more;
+  more.Bytes(bytes);
+  more.Number(200, std::uint64_t{5});
+  more.Text(201, std::string(300, 'x'));
+  const auto read = codec::DecodeMessage(more.bytes());
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(codec::Encode(*read), bytes);
+  membership::Random random(3);
+  for (int i = 0; i < 20000; ++i) {
+    std::string noise = i % 2 == 0 ? bytes : std::string(random.Below(80), '\0');
+    for (char& c : noise) {
+      if (i % 2 == 1 || random.Below(20) == 0) c = static_cast<char>(random.Word());
+    }
+    const auto message = codec::DecodeMessage(noise);
+    if (message) {
+      EXPECT_LE(message->view.members.size(), codec::kMostMembers);
+    }
+    (void)codec::DecodeProbe(noise);
+    (void)codec::DecodeFacts(noise);
+    (void)codec::DecodeVotes(noise);
+  }
+}
+
+struct VoteFolder : ::testing::Test {
+  VoteFolder() {
+    char name[] = "/tmp/millethollow-votes-XXXXXX";
+    folder = mkdtemp(name);
+  }
+  ~VoteFolder() override { std::filesystem::remove_all(folder); }
+  bool Open(std::uint64_t cluster = 1, membership::NodeId self = 2) {
+    file = std::make_unique<store::VoteFile>();
+    votes = {};
+    done = 0;
+    return file->Open(folder, cluster, self, [this](std::uint64_t ticket, bool ok) {
+      const std::lock_guard lock(mutex);
+      done = ok ? ticket : ~0ULL;
+      changed.notify_all();
+    }, &votes, &damaged, &why);
+  }
+  std::uint64_t Write(const membership::Votes& v) {
+    file->Write(v, 7);
+    std::unique_lock lock(mutex);
+    changed.wait(lock, [this] { return done != 0; });
+    return done;
+  }
+  std::string Bytes() {
+    std::stringstream text;
+    text << std::ifstream(folder + "/votes", std::ios::binary).rdbuf();
+    return text.str();
+  }
+  void Put(const std::string& bytes) { std::ofstream(folder + "/votes", std::ios::binary) << bytes; }
+  static membership::Votes Some() {
+    return {.promised = {3, 2}, .accepted_by = {2, 1}, .accepted = {.epoch = 4, .members = {}, .settled = 0},
+            .mind = {1, 9}, .minds = {}, .writes = 5};
+  }
+  std::string folder, why;
+  std::unique_ptr<store::VoteFile> file;
+  membership::Votes votes;
+  bool damaged = false;
+  std::uint64_t done = 0;
+  std::mutex mutex;
+  std::condition_variable changed;
+};
+
+TEST_F(VoteFolder, KeepsWhatWasWrittenAndIsTakenByOneProcess) {
+  ASSERT_TRUE(Open()) << why;
+  EXPECT_EQ(Write(Some()), 7U);
+  store::VoteFile second;
+  membership::Votes unused;
+  bool bad = false;
+  EXPECT_FALSE(second.Open(folder, 1, 2, [](std::uint64_t, bool) {}, &unused, &bad, &why));
+  EXPECT_NE(why.find("in use"), std::string::npos) << why;
+  file.reset();
+  ASSERT_TRUE(Open()) << why;
+  EXPECT_EQ(codec::Encode(votes), codec::Encode(Some()));
+  EXPECT_FALSE(damaged);
+}
+
+TEST_F(VoteFolder, CutAtAnyByteCountsAsNoneAndIsPutAside) {
+  ASSERT_TRUE(Open());
+  Write(Some());
+  file.reset();
+  const std::string whole = Bytes();
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    Put(whole.substr(0, n));
+    ASSERT_TRUE(Open()) << why;
+    EXPECT_TRUE(damaged) << n;
+    EXPECT_EQ(votes.mind.number, 0U) << n;
+    file.reset();
+  }
+  EXPECT_TRUE(std::filesystem::exists(folder + "/votes.damaged"));
+}
+
+TEST_F(VoteFolder, OfAnotherOrALaterBuildIsLeftAlone) {
+  ASSERT_TRUE(Open());
+  Write(Some());
+  file.reset();
+  const std::string whole = Bytes();
+  EXPECT_FALSE(Open(5, 2));
+  EXPECT_NE(why.find("another cluster"), std::string::npos) << why;
+  EXPECT_FALSE(Open(1, 5));
+  EXPECT_NE(why.find("another member"), std::string::npos) << why;
+  std::string later = whole.substr(0, whole.size() - 8);
+  later[7] = 9;
+  codec::Writer hash;
+  hash.Raw(codec::Hash(later));
+  Put(later + hash.bytes());
+  EXPECT_FALSE(Open());
+  EXPECT_NE(why.find("of schema 9"), std::string::npos) << why;
+  EXPECT_EQ(Bytes(), later + hash.bytes()) << "nothing was overwritten";
+}
+
+TEST(ClusterSection, EachMistakeIsOneClearLine) {
+  const std::string three = R"([{"id":"a","address":"127.0.0.1:1","voter":true},
+    {"id":"b","address":"127.0.0.1:2","voter":true},{"id":"c","address":"127.0.0.1:3","voter":true}])";
+  const std::pair<std::string, std::string> cases[] = {
+      {R"({"name":"x","self":"a","store":"s","members":)" + three + "}", ""},
+      {R"({"name":"x y","self":"a","store":"s","members":)" + three + "}", "'name' must be one plain word"},
+      {R"({"name":"x","self":"d","store":"s","members":)" + three + "}", "'self' names no member: 'd'"},
+      {R"({"name":"x","self":"a","members":)" + three + "}", "'store' is missing"},
+      {R"({"name":"x","self":"a","store":"s","members":[]})", "no members"},
+      {R"({"name":"x","self":"a","store":"s","members":[{"id":"a","address":"h:1","voter":true},
+         {"id":"a","address":"h:2"}]})", "two members 'a'"},
+      {R"({"name":"x","self":"a","store":"s","members":[{"id":"a","address":"h:1","voter":true},
+         {"id":"b","address":"h:1"}]})", "two members at h:1"},
+      {R"({"name":"x","self":"a","store":"s","members":[{"id":"a","address":"h:1","voter":true},
+         {"id":"b","address":"h:2","voter":true}]})", "must be voters, not 2"},
+      {R"({"name":"x","self":"a","store":"s","membres":[]})", "unknown key 'cluster.membres'"},
+      {R"({"name":"x","self":"a","store":"s","members":[{"id":"a","adress":"h:1"}]})",
+       "unknown key 'cluster.members.0.adress'"},
+      {R"({"name":"x","self":"a","store":"s","timings":{"lease_s":1},"members":)" + three + "}",
+       "'lease_s' must be at least three times"},
+      {R"({"name":"x","self":"a","store":"s","timings":{"probe_s":"1"},"members":)" + three + "}",
+       "'cluster.timings.probe_s' is not a number from"},
+      {R"({"name":"x","self":"a","store":"s","cut_off_part":2,"members":)" + three + "}",
+       "'cluster.cut_off_part' is not a number from 0 to 1"},
+      {"7", "'cluster' is not an object"},
+  };
+  for (const auto& [text, wanted] : cases) {
+    ClusterOptions options;
+    std::string why;
+    EXPECT_EQ(ReadCluster("{\"cluster\":" + text + "}", &options, &why), wanted.empty()) << text;
+    EXPECT_NE(why.find(wanted), std::string::npos) << why << " for " << text;
+    EXPECT_EQ(why.find('\n'), std::string::npos);
+    EXPECT_EQ(options.on(), wanted.empty()) << "nothing is taken in part";
+  }
+}
+
+}  // namespace
+}  // namespace millethollow
