In large tiers the watch goes on at once after news: discovery was overbooked

Cause, by a log line for each call, answer and send: after an answer with news a node of a tier of 7 or more waited 0.1 to 1.3 s (discovery.cpp, Answered: Crowd() && news) and so began a new watch. A new watch takes its turn of 0.23 s there, one that goes on none; 32 nodes made two new ones for each change. 174 of 367 calls were turned away (queue of 3 s full), node n20 eight times in a row: its list was 24 s old, and the change of 12.26 s counted as told at 18.26 s. Excluded: silent watches (none on that node), sends after a told drain (each send was to a server not told of there), the check before the send (it had no word to go by). Change: the watch goes on at once after each answer. Where discovery turns such a call away, the calls after answers are spread as before until they no longer fail (CallPace::GoingOnRefused), and sends wait for an overdue list as before.

--- a/src/membership/call_pace.h
+++ b/src/membership/call_pace.h
@@ -8,11 +8,15 @@
 namespace millethollow::membership {
 
 // Discovery serves one call after the other and fails those that have waited too long (some
-// seconds). After a call that failed, a change counts as told 6 s after discovery had it, and a
-// node may send to a server that is to end for the drain grace longer: of a failed call, the wait
-// after it, and one more call, the sum has to stay below that. So waits after failures are bounded,
-// and what keeps a tier from calling faster than discovery bears are the waits after answers: all
-// nodes together then need no more than one call each in some three seconds.
+// seconds), or that find too many before them. A call that follows an answer at once lets the watch
+// go on, which costs discovery next to nothing; a later one begins a new watch, and waits in turn.
+// In a tier of 32 nodes new watches after each change kept discovery so busy that a node's calls
+// were turned away eight times in a row. So the watch goes on at once, until discovery turns such a
+// call away: then the calls after answers are spread too, until they no longer fail.
+//
+// After a call that failed, a change counts as told 6 s after discovery had it, and a node may send
+// to a server that is to end for the drain grace longer: of a failed call, the wait after it, and
+// one more call, the sum has to stay below that. So waits after failures are bounded.
 class CallPace {
  public:
   explicit CallPace(int nodes)
@@ -22,11 +26,16 @@
 
   // The wait before the next call; `unit` is random, from 0 to 1.
   double AtStart(double unit) const { return start_ * unit; }
+  // 0: at once, so that the watch goes on.
   double AfterAnswer(double unit) {
     waited_ = 0;
     window_ = std::max(least_, std::min(kMostAnsweredS, window_ * kNarrower));
+    if (!refused_) return 0;
+    refused_ = window_ > least_;
     return window_ * (kSure + (1 - kSure) * unit);
   }
+  // A call that followed an answer at once was turned away: discovery bears no such calls now.
+  void GoingOnRefused() { refused_ = true; }
   double AfterFailure(double unit) {
     const bool first = waited_ == 0;
     // Overbooked for so long, discovery may answer nobody: it comes back only once fewer call.
@@ -53,6 +62,7 @@
   static constexpr double kSilenceS = 0.8;
 
   double start_, least_, window_;
+  bool refused_ = false;
   double waited_ = 0;  // in all, after failures since the last answer
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -114,9 +114,11 @@
     return parsed && Connect(*parsed);
   }
   // `waits`: discovery may keep it until there is something to tell.
-  void Ask(const std::string& target, double limit_s, bool waits) {
+  // `goes_on`: it follows an answer at once.
+  void Ask(const std::string& target, double limit_s, bool waits, bool goes_on) {
     parser_.Reset();
     waits_ = waits;
+    goes_on_ = goes_on;
     busy_ = true;
     asked_at_ = loop_->Now();
     Write("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
@@ -129,6 +131,7 @@
   void Finish(const char* reason) { Close(reason); }
   bool busy() const { return busy_ && !closed(); }
   bool waits() const { return waits_; }
+  bool goes_on() const { return goes_on_; }
   double asked_at() const { return asked_at_; }
 
  private:
@@ -161,7 +164,7 @@
   }
 
   Discovery* owner_;
-  bool whole_, busy_ = false, waits_ = false;
+  bool whole_, busy_ = false, waits_ = false, goes_on_ = false;
   double asked_at_ = 0;
   http::Parser parser_{http::Parser::Side::kResponse, {.head = 16 * 1024, .body = kMostList}};
   Deadlines::Ticket limit_ = Deadlines::kNone;
@@ -250,7 +253,7 @@
   if (fetch_ != nullptr) Drop(fetch_.get());
 }
 
-void Discovery::Ask(bool whole, double wait_s) {
+void Discovery::Ask(bool whole, double wait_s, bool goes_on) {
   auto& call = whole ? fetch_ : watch_;
   if (call == nullptr || call->closed()) {
     if (call != nullptr) Drop(call.get());
@@ -261,7 +264,7 @@
   call->Ask(whole || unread_ ? "/catalog/members"
                              : "/catalog/members?after=" + std::to_string(version_) +
                                    "&wait_ms=" + std::to_string(wait_ms),
-            wait_s > 0 ? wait_s + kPastWaitS : kCallS, wait_s > 0);
+            wait_s > 0 ? wait_s + kPastWaitS : kCallS, wait_s > 0, goes_on);
 }
 
 void Discovery::Answered(DiscoveryCall* call, int status, const std::string& body, bool whole) {
@@ -294,16 +297,17 @@
     const bool soon = loop_->Now() - call->asked_at() < kNoNewsS;
     if (list.version > 0) version_ = list.version;
     overdue_from_ = kNever;
-    if (Crowd() && news) {  // more will follow, and to be called on each is too much for discovery
+    const double spread_s = Crowd() ? pace_.AfterAnswer(Unit()) : 0;
+    if (news && spread_s > 0) {
       // What changed right after the answer counts as told, since the watch might have gone on.
       // Not where discovery bears so few calls that sends would wait for long.
-      const double wait = pace_.AfterAnswer(Unit()), most = kOverdueShare * options_.drain_grace_s;
-      if (wait < most) overdue_from_ = loop_->Now() + most;
-      CallIn(wait);
+      const double most = kOverdueShare * options_.drain_grace_s;
+      if (spread_s < most) overdue_from_ = loop_->Now() + most;
+      CallIn(spread_s);
     } else if (!news && call->waits() && soon) {
       CallIn(kNoNewsS, true);
     } else {  // at once, on the same connection: a later call would begin a new watch
-      Ask(false, WaitS());
+      Ask(false, WaitS(), true);
     }
   }
   if (list.version > 0) version_ = std::max(version_, list.version);
@@ -371,8 +375,11 @@
 void Discovery::Failed(DiscoveryCall* call, const char* reason, bool whole) {
   if (call == old_.get()) return Drop(call);  // it was to end
   if (!whole) overdue_from_ = kNever;
+  // One that has lasted for longer was a watch, and has ended with discovery or its connection.
+  const bool refused = call->goes_on() && loop_->Now() - call->asked_at() < kCallS;
   Lost(call, reason);
   if (!whole && Crowd() && loop_->Now() - moved_at_ >= kMoveS) {
+    if (refused) pace_.GoingOnRefused();
     CallIn(pace_.AfterFailure(Unit()));  // whatever the module asks meanwhile, no sooner
   } else if (!whole) {
     watching_ = false;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -66,7 +66,7 @@
 
  private:
   friend class DiscoveryCall;
-  void Ask(bool whole, double wait_s);
+  void Ask(bool whole, double wait_s, bool goes_on = false);
   double WaitS();
   double Unit();
   void CallIn(double wait_s, bool waits = false);
