--- /dev/null
+++ b/src/quota/allocator.h
@@ -0,0 +1,73 @@
+// An allocator's side of quota leases: it splits the quota of each tenant that the agreed view
+// gives it over the dispatchers, by what they report. The sum of all floors and of all leases that
+// may still be in force at any dispatcher is never above the quota: what a silent dispatcher may
+// still use stays reserved until its lease is over by that dispatcher's clock. Decides only: no
+// I/O, no clock.
+#ifndef MILLETHOLLOW_QUOTA_ALLOCATOR_H_
+#define MILLETHOLLOW_QUOTA_ALLOCATOR_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "quota/placement.h"
+#include "quota/types.h"
+
+namespace millethollow::quota {
+
+struct AllocatorCounters {
+  std::uint64_t reports = 0, grants = 0, takeovers = 0, lapses = 0;
+  std::array<std::uint64_t, static_cast<std::size_t>(Refusal::kCount)> refused{};
+};
+
+class Allocator {
+ public:
+  // `dispatchers`: every member of the cluster, in the view or not, that may hold leases; this one
+  // among them. `now`: this process has just started, and knows nothing of leases given before.
+  Allocator(NodeId self, std::vector<NodeId> dispatchers, std::vector<TenantQuota> tenants,
+            const Timings& timings, double now);
+
+  // The agreed view has changed. Tenants that are new here are taken over: their whole quota counts
+  // as leased until every dispatcher has reported in this epoch or later, or until whatever another
+  // allocator may have granted is over.
+  void SetView(double now, const AllocatorView& view);
+  // Other quotas of the same tenants, from the settings. A lower one is pushed at once.
+  void SetQuotas(double now, const std::vector<TenantQuota>& tenants);
+  // A report of the process `life` of dispatcher `from` came. Nothing changes unless kNone is
+  // returned; each refusal is counted.
+  Refusal Hear(double now, NodeId from, Life life, const Report& report);
+  // Appends the grants that are due. `may_act`: this process holds its place in the view now; where
+  // it does not, nothing is granted.
+  void Tick(double now, bool may_act, Actions* actions);
+  // When Tick is due next; infinity: never.
+  double NextAt() const;
+
+  bool Allocates(TenantId tenant) const;
+  // What may be in use of a tenant beside the floors, 0 for one that is not allocated here.
+  double Reserved(double now, TenantId tenant) const;
+  // While a takeover is not over.
+  bool TakingOver(double now, TenantId tenant) const;
+  std::size_t tenants_allocated() const;
+  const AllocatorCounters& counters() const { return counters_; }
+
+ private:
+  struct Share;   // of one tenant at one dispatcher
+  struct Tenant;  // allocated here
+  struct Peer;    // a dispatcher
+
+  NodeId self_;
+  Timings timings_;
+  AllocatorView view_;
+  std::vector<NodeId> dispatchers_;
+  std::map<TenantId, double> quotas_;
+  std::map<TenantId, Tenant> tenants_;
+  std::map<NodeId, Peer> peers_;
+  double started_at_;
+  std::uint64_t last_grant_ = 0;
+  AllocatorCounters counters_;
+};
+
+}  // namespace millethollow::quota
+
+#endif  // MILLETHOLLOW_QUOTA_ALLOCATOR_H_
--- /dev/null
+++ b/src/quota/types.h
@@ -0,0 +1,112 @@
+// What dispatchers and allocators say to each other about a tenant's quota: reports of demand, and
+// grants of a part of the quota for a span (RLQS: RateLimitQuotaUsageReports and
+// RateLimitQuotaAssignment). No I/O, no clock.
+#ifndef MILLETHOLLOW_QUOTA_TYPES_H_
+#define MILLETHOLLOW_QUOTA_TYPES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "membership/types.h"
+
+namespace millethollow::quota {
+
+using membership::Life;
+using membership::NodeId;
+
+// A hash of the tenant's name: the same at every node.
+using TenantId = std::uint64_t;
+
+// A tenant and its quota over all dispatchers, in jobs per second.
+struct TenantQuota {
+  TenantId tenant = 0;
+  double quota = 0;
+};
+
+// Most entries of one frame; a longer one is refused, and a longer report is sent as several.
+constexpr std::size_t kMostEntries = 256;
+// Most tenants that a dispatcher or an allocator keeps.
+constexpr std::size_t kMostTenants = 4096;
+// Rates over this, in jobs per second, are taken for damage.
+constexpr double kMostRate = 1e9;
+
+// All spans in seconds. `drift`: two clocks' paces differ by at most this share; both count pauses.
+struct Timings {
+  double span_s = 3.0;        // of a lease, from when the report that it answers was sent
+  double renew_s = 0.8;       // between two reports to one allocator while a lease is held
+  double report_gap_s = 0.1;  // least time between two reports to one allocator
+  double drift = 0.01;
+  double act_s = 4.1;  // an allocator that was replaced may still grant for this long
+  // A change of demand below this share of the demand last told is not told before the next
+  // renewal, nor is a rate changed for it.
+  double hysteresis = 0.1;
+  // Of each quota, spread evenly over all dispatchers of the cluster and never leased: what each
+  // has without a lease, and what admits the first jobs of a tenant that is new to it.
+  double floor_part = 0.04;
+};
+
+// One tenant in a report: what the dispatcher needs and what it holds of it.
+struct Usage {
+  TenantId tenant = 0;
+  double demand = 0;        // jobs per second that came in, admitted or not
+  double held = 0;          // the rate of the lease in force, 0: none
+  double left_s = 0;        // until that lease is over, by the dispatcher's clock
+  std::uint64_t grant = 0;  // the number of the grant that it applied last, 0: none
+  bool operator==(const Usage&) const = default;
+};
+
+// From a dispatcher to the allocator of the tenants that it names. It renews all leases that the
+// dispatcher has of that allocator, named or not.
+struct Report {
+  std::uint64_t epoch = 0;     // no grant of an earlier epoch is taken by the dispatcher any more
+  std::uint64_t sequence = 0;  // rises with each report of this life to this allocator
+  bool full = false;           // names every tenant of this allocator that has demand or a lease
+  std::vector<Usage> usages;   // what has changed since the last report, at most kMostEntries
+  bool operator==(const Report&) const = default;
+};
+
+// One tenant in a grant.
+struct Assignment {
+  TenantId tenant = 0;
+  double rate = 0;          // jobs per second, on top of the floor; 0: none
+  std::uint64_t grant = 0;  // rises with each change of the rate at one allocator; 0 is none
+  bool operator==(const Assignment&) const = default;
+};
+
+// From an allocator to a dispatcher. Every lease of this allocator lasts, from now on, until span_s
+// after the report of that sequence was sent.
+struct Grant {
+  std::uint64_t epoch = 0;    // of the view in which the allocator has these tenants
+  std::uint64_t answers = 0;  // sequence of the newest report that the allocator has had
+  bool want_full = false;     // the allocator knows too little: the next report is to be full
+  double span_s = 0;
+  std::vector<Assignment> assignments;  // what has changed, at most kMostEntries
+  bool operator==(const Grant&) const = default;
+};
+
+using Message = std::variant<Report, Grant>;
+
+// Why a message changed nothing.
+enum class Refusal : std::uint8_t {
+  kNone,
+  kOldEpoch,  // of an epoch before one that is known here
+  kDoubled,   // came before, or after a later one of its kind
+  kUnknownTenant,
+  kBadNumber,     // a rate or time that is not a number, negative, or out of bounds
+  kTooLarge,      // more entries than kMostEntries
+  kNotAllocator,  // by a member that does not allocate the tenant, or to one that does not
+  kCount,
+};
+
+// What is to be sent, in order.
+struct Actions {
+  std::vector<std::pair<NodeId, Message>> send;
+};
+
+}  // namespace millethollow::quota
+
+#endif  // MILLETHOLLOW_QUOTA_TYPES_H_
