src/copies/copies.cpp in four files: logs, replication, holders, and what calls them

Need: 758 lines in one file, and a parameter that hid a member (-Wshadow). Change: functions moved as they stand to log.cpp, replication.cpp and holders.cpp; the parameter of Log::Mark is since_s.

--- a/src/copies/copies.h
+++ b/src/copies/copies.h
@@ -141,7 +141,7 @@
     // known when.
     std::deque<std::pair<double, Seq>> marks;
     Seq late = 0;
-    void Mark(double since);
+    void Mark(double since_s);
     // As the owner:
     bool own = false, begun = false, closing = false;
     std::uint64_t since = 0;
--- /dev/null
+++ b/src/copies/log.cpp
@@ -0,0 +1,120 @@
+// What one member has of a log, and its way to the disk.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "copies/copies.h"
+
+namespace millethollow::copies {
+namespace {
+
+constexpr double kMarkS = 0.5;            // between two marks of a log
+constexpr std::size_t kMostMarks = 2400;  // so that windows of 20 minutes are known
+
+}  // namespace
+
+const Op* Copies::Log::At(Seq seq) const {
+  if (ops.empty() || seq < ops.front().seq || seq > ops.back().seq) return nullptr;
+  return &ops[seq - ops.front().seq];
+}
+
+// Of an operation that is known; 0: it is not.
+std::uint64_t Copies::Log::EpochAt(Seq seq) const {
+  if (const Op* op = At(seq)) return op->epoch;
+  if (!ops.empty() && seq + 1 == ops.front().seq) return before;
+  return seq == head.applied ? head.applied_epoch : 0;
+}
+
+void Copies::Log::Mark(double since_s) {
+  if (!marks.empty() && since_s - marks.back().first < kMarkS) return;
+  marks.emplace_back(since_s, End());
+  if (marks.size() > kMostMarks) marks.pop_front();
+}
+
+void Copies::Put(LogId id, const Op& op) {
+  batch_.push_back({Write::What::kPut, OpKey(id, op.seq), Encode(op)});
+}
+
+void Copies::PutHead(LogId id, const Log& log) {
+  batch_.push_back({Write::What::kPut, HeadKey(id), Encode(log.head)});
+}
+
+// Operations that are on all holders become entries.
+void Copies::Apply(LogId id, Log* log, Seq commit) {
+  const Seq until = std::min(commit, log->End());
+  if (until <= log->head.applied) return;
+  for (Seq seq = log->head.applied + 1; seq <= until; ++seq) {
+    const Op& op = *log->At(seq);
+    batch_.push_back({Write::What::kErase, OpKey(id, seq), ""});
+    if (op.gone) {
+      batch_.push_back({Write::What::kErase, EntryKey(id, log->head.filling, op.key), ""});
+    } else {
+      batch_.push_back({Write::What::kPut, EntryKey(id, log->head.filling, op.key), Encode(op)});
+    }
+    log->head.applied = seq;
+    log->head.applied_epoch = op.epoch;
+  }
+  PutHead(id, *log);
+  // An owner keeps some for holders that are behind.
+  const std::size_t keep = log->own ? o_.tail_ops : 0;
+  while (log->ops.size() > keep && !log->ops.empty() && log->ops.front().seq <= log->head.applied) {
+    log->Drop();
+  }
+}
+
+// Takes out what no owner answered: all from this number on.
+void Copies::Cut(LogId id, Log* log, Seq from) {
+  while (!log->ops.empty() && log->ops.back().seq >= from) {
+    batch_.push_back({Write::What::kErase, OpKey(id, log->ops.back().seq), ""});
+    log->ops.pop_back();
+  }
+  log->stored = std::min(log->stored, log->End());
+  for (Flight& f : flights_) {
+    const auto it = f.reaches.find(id);
+    if (it != f.reaches.end()) it->second.end = std::min(it->second.end, from - 1);
+  }
+}
+
+void Copies::Flush(Actions* actions) {
+  if (failed_) batch_.clear();
+  if (batch_.empty()) return;
+  Flight flight{.ticket = ++ticket_, .reaches = {}};
+  for (const auto& [id, log] : logs_)
+    flight.reaches[id] = {log.End(), log.head.applied, log.fill, log.chunk};
+  flights_.push_back(std::move(flight));
+  std::move(batch_.begin(), batch_.end(), std::back_inserter(actions->write));
+  batch_.clear();
+  actions->ticket = ticket_;
+}
+
+void Copies::Stored(double now, std::uint64_t ticket, Actions* actions) {
+  if (failed_) return;
+  while (!flights_.empty() && flights_.front().ticket <= ticket) {
+    for (const auto& [id, reach] : flights_.front().reaches) {
+      const auto it = logs_.find(id);
+      if (it == logs_.end()) continue;
+      Log& log = it->second;
+      log.stored = std::max(log.stored, std::min(reach.end, log.End()));
+      log.head_stored = std::max(log.head_stored, reach.applied);
+      if (reach.fill != 0 && reach.fill == log.fill)
+        log.chunk_stored = std::max(log.chunk_stored, reach.chunk);
+    }
+    flights_.pop_front();
+  }
+  for (auto it = answer_to_.begin(); it != answer_to_.end();) {
+    const auto log = logs_.find(it->first);
+    if (log != logs_.end() && (log->second.stored < log->second.matched ||
+                               log->second.chunk_stored < log->second.chunk)) {
+      ++it;
+      continue;
+    }
+    if (log != logs_.end()) Tell(it->second, it->first, log->second, true, actions);
+    it = answer_to_.erase(it);
+  }
+  for (auto& [id, log] : logs_) {
+    if (log.own) Commit(now, id, &log, actions);
+  }
+  Flush(actions);
+}
+
+}  // namespace millethollow::copies
--- /dev/null
+++ b/src/copies/replication.cpp
@@ -0,0 +1,288 @@
+// Operations from the owner of a log to its holders: sending, filling, acknowledging, committing.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "copies/copies.h"
+#include "membership/logs.h"
+
+namespace millethollow::copies {
+namespace {
+
+// A frame is no older when it comes, but for a stop of this process.
+constexpr double kOnItsWayS = 3.0;
+
+}  // namespace
+
+// What all holders have, and whoever was asked for as one, and this disk too.
+void Copies::Commit(double now, LogId id, Log* log, Actions* actions) {
+  const LogPlace* place = view_.Log(id);
+  if (!log->own || place == nullptr || failed_ || !leased_) return;
+  Seq commit = log->stored;
+  for (const auto& [who, peer] : log->peers) {
+    if (peer.holder || log->asked.contains(who))
+      commit = std::min(commit, peer.met ? peer.acked : 0);
+  }
+  for (const NodeId who : log->asked) {
+    if (who != o_.self && !log->peers.contains(who)) commit = 0;
+  }
+  if (commit > log->commit && place->holders.size() >= o_.copies_least) {
+    counters_.promises += commit - std::max(log->commit, std::min(log->base, commit));
+    log->commit = commit;
+    actions->kept.emplace_back(id, commit);
+    Apply(id, log, commit);
+  }
+  if (!log->begun && log->commit >= log->base && log->pass_to == 0 && !log->passing) {
+    log->begun = true;
+    counters_.adoptions += 1;
+    actions->begun.push_back(id);
+  }
+  Want(now, log, *place);
+}
+
+void Copies::Tell(NodeId to, LogId id, const Log& log, bool matched, Actions* actions) const {
+  Frame f{.kind = Frame::Kind::kAt, .log = id, .epoch = log.head.epoch, .disk = o_.disk};
+  f.seq = matched ? std::min(log.matched, log.stored) : log.head.applied;
+  f.matched = matched;
+  f.commit = log.head.applied;
+  f.end = log.End();
+  f.end_epoch = log.EpochAt(f.end);
+  f.life = o_.life;
+  f.fill = log.fill;
+  f.chunk = log.chunk_stored;
+  actions->send.emplace_back(to, std::move(f));
+}
+
+void Copies::SendWhere(LogId id, const Log& log, NodeId to, Peer* peer, Actions* actions) {
+  peer->asked = ++numbers_;
+  Frame f{.kind = Frame::Kind::kWhere, .log = id, .epoch = log.since, .disk = peer->disk};
+  f.number = peer->asked;
+  actions->send.emplace_back(to, std::move(f));
+}
+
+// What a holder has not got yet, as much as one frame takes; nothing new: it is asked again.
+void Copies::SendOps(double now, LogId id, Log* log, NodeId to, Peer* peer, Actions* actions) {
+  if (!peer->met) return SendWhere(id, *log, to, peer, actions);
+  if (peer->fill != 0) return;
+  const Seq first = log->ops.empty() ? log->head.applied + 1 : log->ops.front().seq;
+  if (peer->next < first) return StartFill(now, id, log, peer, actions);
+  Frame f{.kind = Frame::Kind::kOps, .log = id, .epoch = log->since, .disk = peer->disk};
+  f.seq = peer->next - 1;
+  f.seq_epoch = log->EpochAt(f.seq);
+  f.commit = log->commit;
+  std::size_t bytes = 0;
+  for (std::size_t n = 0; n < o_.frame_ops && peer->next <= log->End(); ++n) {
+    const Op& op = *log->At(peer->next);
+    bytes += op.key.size() + op.value.size();
+    if (n > 0 && bytes > o_.frame_bytes) break;
+    f.ops.push_back(op);
+    peer->next += 1;
+  }
+  peer->sent_at = now;
+  actions->send.emplace_back(to, std::move(f));
+}
+
+void Copies::StartFill(double now, LogId id, Log* log, Peer* peer, Actions* actions) {
+  // What it is filled with must not be less than what it has.
+  const Seq from = std::min(log->head_stored, log->head.applied);
+  if (from + 1 < peer->next) return;
+  counters_.fillings += 1;
+  peer->fill = ++fills_;
+  peer->chunk = 0;
+  peer->after.clear();
+  peer->fill_from = from;
+  peer->acked = 0;
+  peer->reading = true;
+  peer->chunk_at = now;
+  peer->part = {};
+  actions->read.push_back({id, peer->fill, EntryPrefix(id, log->head.filling), ""});
+}
+
+void Copies::Chunk(double now, LogId id, std::uint64_t fill, std::vector<Op> entries, bool last,
+                   Actions* actions) {
+  const auto it = logs_.find(id);
+  if (it == logs_.end() || !it->second.own) return;
+  for (auto& [who, peer] : it->second.peers) {
+    if (peer.fill != fill || !peer.reading) continue;
+    peer.reading = false;
+    Frame& f = peer.part;
+    f = {.kind = Frame::Kind::kFill, .log = id, .epoch = it->second.since, .disk = peer.disk};
+    f.fill = fill;
+    f.chunk = peer.chunk;
+    f.last = last;
+    f.seq = peer.fill_from;
+    f.seq_epoch = it->second.EpochAt(peer.fill_from);
+    if (!entries.empty()) peer.after = entries.back().key;
+    f.ops = std::move(entries);
+    peer.sent_at = now;
+    actions->send.emplace_back(who, f);
+    return;
+  }
+}
+
+// Entries of a filling lie apart until all are there: what this disk has counts until then.
+void Copies::HearFill(NodeId from, const Frame& f, Actions* actions) {
+  Log& log = logs_[f.log];
+  const std::uint64_t next = log.head.filling + 1;
+  if (f.fill < log.fill) return;  // late
+  if (f.chunk == 0 && log.fill != f.fill) {
+    batch_.push_back({Write::What::kErasePrefix, EntryPrefix(f.log, next), ""});
+    log.fill = f.fill;
+    log.chunk = log.chunk_stored = 0;
+  }
+  if (log.fill != f.fill || f.chunk != log.chunk || f.seq < log.head.applied) {
+    return Tell(from, f.log, log, false, actions);
+  }
+  for (const Op& op : f.ops) {
+    batch_.push_back({Write::What::kPut, EntryKey(f.log, next, op.key), Encode(op)});
+  }
+  log.chunk += 1;
+  if (f.last) {
+    batch_.push_back({Write::What::kErasePrefix, EntryPrefix(f.log, log.head.filling), ""});
+    // Later ones stay: they may have been answered.
+    while (!log.ops.empty() && log.ops.front().seq <= f.seq) {
+      batch_.push_back({Write::What::kErase, OpKey(f.log, log.ops.front().seq), ""});
+      log.Drop();
+    }
+    log.head.filling = next;
+    log.late = std::max(log.late, log.End());
+    log.head.applied = f.seq;
+    log.head.applied_epoch = log.before = f.seq_epoch;
+    log.matched = f.seq;
+    PutHead(f.log, log);
+  }
+  answer_to_[f.log] = from;
+  Flush(actions);
+}
+
+// Raft's rule: what follows an operation that both have in the same epoch follows it in both.
+void Copies::HearOps(NodeId from, const Frame& f, Log* log, Actions* actions) {
+  const bool known = f.seq < log->head.applied || log->EpochAt(f.seq) == f.seq_epoch;
+  if (f.seq > log->End() || !known) return Tell(from, f.log, *log, false, actions);
+  Seq upto = f.seq;
+  if (!f.ops.empty()) {
+    // A holder that is waited for hears of an operation before it counts. One that was stopped may
+    // find frames that waited as long; one that is not waited for hears of it when it may.
+    const LogPlace* place = view_.Log(f.log);
+    const LogHolder* self = place == nullptr ? nullptr : place->Find(o_.self);
+    if (self == nullptr || self->disk != o_.disk || f.commit > log->End()) {
+      log->late = std::max(log->late, f.ops.back().seq);
+    } else {
+      log->Mark(before_ - kOnItsWayS);
+    }
+  }
+  for (const Op& op : f.ops) {
+    if (op.seq != ++upto) return;  // no frame of ours
+    if (op.seq <= log->head.applied) continue;
+    const Op* mine = log->At(op.seq);
+    if (mine != nullptr && mine->epoch == op.epoch) continue;
+    if (mine != nullptr) Cut(f.log, log, op.seq);
+    log->ops.push_back(op);
+    Put(f.log, op);
+  }
+  log->matched = std::max(log->matched, upto);
+  Apply(f.log, log, std::min(f.commit, std::min(log->matched, log->stored)));
+  Flush(actions);
+  if (log->stored >= log->matched) return Tell(from, f.log, *log, true, actions);
+  answer_to_[f.log] = from;
+}
+
+void Copies::Hear(double now, NodeId from, const Frame& f, Actions* actions) {
+  if (failed_) return;
+  if (f.kind == Frame::Kind::kAt) return HearAt(now, from, f, actions);
+  if (f.disk != o_.disk) return;
+  // One that was its owner and does not know that it is no more; or one whose view is to come.
+  const LogPlace* place = view_.Log(f.log);
+  if (place != nullptr && place->since > f.epoch) return;
+  auto it = logs_.find(f.log);
+  if (it == logs_.end()) {
+    if (f.epoch < view_.epoch && place == nullptr) return;  // at its end
+    if (logs_.size() >= membership::kMostLogs) return;
+    it = logs_.emplace(f.log, Log{}).first;
+  }
+  Log& log = it->second;
+  if (f.epoch < log.head.epoch || (log.own && f.epoch <= log.since)) return;
+  if (log.own) Disown(f.log, &log, actions);
+  if (f.epoch > log.head.epoch) {
+    log.head.epoch = f.epoch;
+    log.matched = log.fill = log.chunk = log.chunk_stored = 0;
+    for (Flight& flight : flights_) flight.reaches[f.log].fill = 0;  // numbered by another
+    PutHead(f.log, log);
+  }
+  switch (f.kind) {
+    case Frame::Kind::kLied:
+      return GiveUpDisk(actions);
+    case Frame::Kind::kWhere:
+      Flush(actions);
+      Tell(from, f.log, log, false, actions);
+      actions->send.back().second.number = f.number;
+      return;
+    case Frame::Kind::kOps:
+      return HearOps(from, f, &log, actions);
+    default:
+      return HearFill(from, f, actions);
+  }
+}
+
+void Copies::HearAt(double now, NodeId from, const Frame& f, Actions* actions) {
+  const auto it = logs_.find(f.log);
+  if (it == logs_.end() || !it->second.own || f.epoch != it->second.since) return;
+  Log& log = it->second;
+  const auto p = log.peers.find(from);
+  if (p == log.peers.end() || p->second.disk != f.disk) return;
+  Peer& peer = p->second;
+  peer.heard_at = now;
+  // Another process on that disk: what is on it is to be asked for anew.
+  if (peer.met && f.life != peer.life) {
+    peer.Forget();
+  }
+  if (!peer.met) {
+    if (f.number == 0 || f.number != peer.asked) return;
+    peer.met = true;
+    peer.life = f.life;
+    peer.next = peer.first = f.seq + 1;
+    peer.end = {f.end_epoch, f.end};
+    // It has less than it said that it had on disk.
+    if (f.end < peer.acked) {
+      actions->send.emplace_back(
+          from,
+          Frame{.kind = Frame::Kind::kLied, .log = f.log, .epoch = log.since, .disk = f.disk});
+      return;
+    }
+  }
+  if (f.commit > log.End()) return GiveUpDisk(actions);
+  if (peer.fill != 0) {
+    if (f.commit > peer.fill_from) {  // it has more than it would be filled with
+      peer.Forget();
+      return;
+    }
+    if (f.fill != peer.fill || f.chunk != peer.chunk + 1 || peer.reading) return;
+    peer.chunk += 1;
+    peer.chunk_at = now + o_.fill_gap_s;
+    if (!peer.part.last) return;
+    peer.fill = 0;  // it has all of it
+    peer.acked = peer.fill_from;
+    peer.next = peer.first = peer.fill_from + 1;
+  } else if (f.number == 0 && !f.matched) {
+    peer.Forget();  // ours did not fit to what it has; this word of it may be late itself
+    return;
+  } else if (f.matched) {
+    peer.acked = std::max(peer.acked, f.seq);
+    peer.next = std::max(peer.next, peer.acked + 1);
+  }
+  // What was answered by the one before may be more than we have, if our disk was put back.
+  if (!log.begun && peer.holder && peer.end > std::pair(log.EpochAt(log.End()), log.End())) {
+    log.pass_to = from;
+  }
+  Commit(now, f.log, &log, actions);
+  if (peer.next <= log.End() || f.number != 0) SendOps(now, f.log, &log, from, &peer, actions);
+  Flush(actions);
+}
+
+void Copies::GiveUpDisk(Actions* actions) {
+  actions->lied = true;
+  failed_ = true;
+  counters_.lies += 1;
+}
+
+}  // namespace millethollow::copies
