Making room for a connection looks only at the one to be closed

Cause: ClientFront::MakeRoom asked Dispensable() of each of some 300 connections for each one accepted (30,000 idle ones came in 30 s), and each answer was a recv() that looks at the system: 300 calls for each new connection. Excluded: discovery (its answers were there: calls ended by the node's own limits, at times of its own), lists (each change was heard at once when a turn came), the log (one line a connection). Change: candidates are ranked by what the process knows; only the best is looked at, and falls back where something waits.

--- a/src/net/http/client_front.cpp
+++ b/src/net/http/client_front.cpp
@@ -6,6 +6,10 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
 
 #include "log.h"
 
@@ -191,14 +195,13 @@
   double idle_since() const { return idle_since_; }
   // Who makes room first when descriptors run out: clients already answered with their fault, those
   // that have never sent a thing, those with half a request, and only then one that was served and
-  // rests. -1: not this one.
-  int Dispensable() const {
+  // rests. -1: not this one. `unread`: something waits in the system, a request perhaps.
+  int Dispensable(bool unread) const {
     if (state_ == State::kLingering) return 0;
     if (state_ != State::kReading) return -1;
     if (!parser_.idle() || Available() > 0) return proven_ ? -1 : 2;
-    const bool waits = UnreadInSystem();  // a request may be here that no turn has read yet
-    if (proven_) return waits ? -1 : served_ > 1 ? 4 : 3;
-    return waits ? 2 : 1;
+    if (proven_) return unread ? -1 : served_ > 1 ? 4 : 3;
+    return unread ? 2 : 1;
   }
   void CloseNow(const char* reason) { Finish(reason); }
   // Ends it as the last answer does: what crosses this end is not read, and goes elsewhere.
@@ -444,20 +447,44 @@
   return raw;
 }
 
+namespace {
+
+// A connection that may be closed to make room for another.
+struct Dispensable {
+  int rank = 0;
+  double idle_since = 0;
+  ClientConnection* connection = nullptr;
+  bool looked = false;  // the rank heeds what waits in the system
+  bool operator>(const Dispensable& other) const {
+    return std::pair(rank, idle_since) > std::pair(other.rank, other.idle_since);
+  }
+};
+using DispensableFirst = std::priority_queue<Dispensable, std::vector<Dispensable>, std::greater<>>;
+
+}  // namespace
+
 // With hundreds that connect and say nothing, the longest idle would be a usual client's resting
-// connection: it must not pay for them.
+// connection: it must not pay for them. Only the one to be closed is looked at in the system: a
+// call for each of them, for each one accepted, once took all of a node's processor time.
 bool ClientFront::MakeRoom(const ClientConnection* newest) {
-  ClientConnection* chosen = nullptr;
-  std::pair<int, double> best;
+  DispensableFirst candidates;
   for (const auto& [raw, client] : clients_) {
     if (raw->closed() || raw == newest) continue;
-    const std::pair<int, double> rank{raw->Dispensable(), raw->idle_since()};
-    if (rank.first < 0 || (chosen != nullptr && best <= rank)) continue;
-    chosen = raw;
-    best = rank;
+    const int rank = raw->Dispensable(false);
+    if (rank >= 0) candidates.push({rank, raw->idle_since(), raw});
+  }
+  while (!candidates.empty()) {
+    Dispensable best = candidates.top();
+    candidates.pop();
+    if (best.looked || !best.connection->UnreadInSystem()) {
+      best.connection->CloseNow("made-room");
+      return true;
+    }
+    best.rank = best.connection->Dispensable(true);
+    best.looked = true;
+    if (best.rank >= 0) candidates.push(best);
   }
-  if (chosen != nullptr) chosen->CloseNow("made-room");
-  return chosen != nullptr;
+  return false;
 }
 
 void ClientFront::Drop(ClientConnection* client) {
