Usage reports that do not fit one datagram go out in parts

A report holds a rate for each tenant. From 60 tenants on (50 with two classes in a large tier, fewer with many workers in use) it was longer than 256 bytes and was dropped unseen: no dispatcher heard another. Over 255 rates the count byte wrapped as well.

A report that fits one datagram keeps its bytes. A longer one is split: each part names its first rate, how many it holds and how many the row has (version 3, which a program from before refuses; it heard nothing of such reports either). The codec has files of its own, src/peer_report.*.

All parts go out with each report, not one in turn. In turn would cost a third of the bytes at 130 tenants, but rates would be up to three intervals old at 130 tenants and five at 260, more with loss, while the silence of a peer (six intervals), the hold of AgreedPart (eight) and the weights of a large tier's means are reckoned in whole reports.

A receiver takes each part by itself. A peer's row is known while every rate of it was told within the stale span; before, and when one part ceases to come, the peer is alive but taken as the average one, and does not count as heard where shares are agreed. A large tier averages the indices of the part alone; figures that mean something only together are never divided between parts. Fleet rate, the fresh mark and slots out (up to 40 workers) count once a report, by the part that begins the row. For the other process of a dispatcher only that part goes out. Counts of buckets are left out of parts: no receiver reads UsageReport::usage. Refused messages are counted.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	build-bench/scheduler_bench
 
 # Every source of ours; the adapter and the old tests keep the form they came in.
-OWN = $(filter-out src/wire.% src/benchlink.cpp src/support.% src/state.h src/carry.h,\
+OWN = $(filter-out src/wire.% src/benchlink.cpp src/carry.h,\
   $(shell find src examples bench -name '*.cpp' -o -name '*.h' | sort))
 lint:
 	clang-format --dry-run --Werror $(OWN)
--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -220,9 +220,10 @@
 struct Probe {
   std::string worker;
 };
+constexpr std::size_t kMostPeerBytes = 256;
 struct TellPeer {
   int whom = 0;
-  std::string body;  // 256 bytes at most
+  std::string body;  // kMostPeerBytes at most
 };
 struct Subscribe {
   bool enable = true;
@@ -297,6 +298,8 @@
   std::uint64_t version() const;
   std::vector<WorkerView> Workers() const;
   double DemandPart() const;  // this dispatcher's part of all demand, 0 to 1
+  // Messages of peers that were taken for damaged, foreign or unwanted.
+  std::uint64_t RefusedPeerMessages() const;
   // Where the tier agrees on parts: from now on. Never called, demand alone decides.
   void Agree(const Parts& parts);
   // What has been learned, for the process that replaces this one, which takes it before its first
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -24,6 +24,7 @@
 std::uint64_t Balancer::version() const { return brain_->version(); }
 std::vector<WorkerView> Balancer::Workers() const { return brain_->Views(); }
 void Balancer::Agree(const Parts& parts) { brain_->Agree(parts); }
+std::uint64_t Balancer::RefusedPeerMessages() const { return brain_->refused_messages(); }
 double Balancer::DemandPart() const { return brain_->DemandPart(); }
 
 }  // namespace decksail
--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -13,7 +13,11 @@
   direct_ = s_.dispatchers - 1 <= kDirectPeers;
   interval_ = kReportS * std::max(1.0, std::cbrt(s_.dispatchers / 4.0));
   lore_classes_ = direct_ ? 0 : classes_;
-  own_.assign(Idx(tenants_) + 3 + (direct_ ? 0 : LoreSize()), 0.0);
+  layout_ = {.tenants = Idx(tenants_),
+             .large_tier = !direct_,
+             .classes = Idx(lore_classes_),
+             .kinds = Idx(std::max(1, s_.kinds))};
+  own_.assign(layout_.size(), 0.0);
   mean_ = own_;
   peers_.rows.resize(direct_ && s_.peers ? Idx(s_.dispatchers) : 0);
   blind_ = s_.tells_start && s_.report_source == ReportSource::kOff;
@@ -50,7 +54,7 @@
 
 void Brain::On(const Mate& e) {
   mate_ = e;
-  if (e.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
+  if (e.present) TellMate();
 }
 
 // A worker off the list this long, with nothing of ours out and named by no open job, gives its
@@ -115,18 +119,29 @@
   mean_power_ = sum > 0 ? sum / ready_ : 1.0;
 }
 
+void Brain::Take(int sender, const UsageReport& report) {
+  if (!direct_) return LearnFromPeers(report);
+  peers_.rows[Idx(sender)].Take(report, layout_.size(), now_);
+  if (report.BeginsRow()) SumOthers();
+}
+
 // A node of a large tier ends too few jobs to tell kinds and classes apart by itself: it learns
 // from the sums of all, times and jobs each. The most slots that peers agree on are taken as they
 // are.
-void Brain::LearnFromPeers(const std::vector<double>& told) {
+void Brain::LearnFromPeers(const UsageReport& told) {
+  const std::size_t first = told.first, end = first + told.rates.size();
+  for (std::size_t i = first; i < end; ++i) mean_[i] = (mean_[i] + told.rates[i - first]) / 2;
+  const auto holds = [&](std::size_t at) { return at >= first && at < end; };
   const auto learn = [&](std::size_t at, Mean& mean) {
-    if (mean_[at + 1] > 0) mean = {mean_[at] / mean_[at + 1], std::max(mean.n, kLoreWeight)};
+    if (!holds(at) || mean_[at + 1] <= 0) return;
+    mean = {mean_[at] / mean_[at + 1], std::max(mean.n, kLoreWeight)};
   };
   for (int c = 0; c < lore_classes_; ++c) learn(LoreOf(c, -1), run_[Idx(c)]);
   for (int k = 0; k < static_cast<int>(kind_pace_.size()); ++k) {
     const std::size_t at = LoreOf(-1, k);
+    if (!holds(at)) continue;
     learn(at, kind_pace_[Idx(k)]);
-    kind_slots_[Idx(k)] = std::max(kind_slots_[Idx(k)], told[at + 2]);
+    kind_slots_[Idx(k)] = std::max(kind_slots_[Idx(k)], told.rates[at + 2 - first]);
     own_[at + 2] = mean_[at + 2] = kind_slots_[Idx(k)];
   }
 }
@@ -152,17 +167,40 @@
   }
 }
 
-// `counts` is empty where the counts have gone out already. Peers hear of both our processes.
-std::string Brain::Message(bool fresh, std::vector<UsageReport::Usage> counts, bool to_mate) const {
-  std::vector<std::pair<std::uint16_t, int>> out;
+// Without the counts of buckets. Peers hear of both our processes.
+UsageReport Brain::ReportOf(bool fresh, bool to_mate) const {
+  UsageReport report;
+  report.fresh = fresh;
+  report.rate = rate_ == kInf ? 0.0 : rate_;
+  report.rates = direct_ ? own_ : mean_;
+  report.hears_all = agreed_.hears_all();
+  report.view = agreed_.view();
   for (const Worker& w : workers_) {
     if (!direct_ && !to_mate) break;  // one of many can't say how much is out there
     const double held = room_keeper_ ? room_keeper_->Held(w.name) : 0.0;
     const double slots = w.out + held + (to_mate ? 0.0 : w.mate);
-    if (slots > 0) out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
+    if (slots > 0) report.out.emplace_back(Tag(w), static_cast<int>(std::lround(slots)));
   }
-  return EncodeReport({fresh, rate_ == kInf ? 0.0 : rate_, direct_ ? own_ : mean_, std::move(out),
-                       std::move(counts), agreed_.hears_all(), agreed_.view()});
+  return report;
+}
+
+// All datagrams of a report go out at once. One in turn with each report would cost less, but each
+// rate would then be as old as there are datagrams, times the interval; what is reckoned from them
+// (kStaleReports, the hold of AgreedPart, the weights of a large tier's means) takes them for no
+// older than one. `counts` is empty where the counts have gone out already.
+void Brain::TellPeers(const std::vector<int>& whom, bool fresh,
+                      std::vector<UsageReport::Usage> counts) {
+  UsageReport report = ReportOf(fresh, false);
+  report.usage = std::move(counts);
+  const std::vector<std::string> datagrams = EncodeReport(report, layout_);
+  for (const int peer : whom) {
+    for (const std::string& datagram : datagrams) actions_->push_back(TellPeer{peer, datagram});
+  }
+}
+
+// Our other process heeds the slots out alone: they are where the row begins.
+void Brain::TellMate() {
+  actions_->push_back(TellPeer{s_.ordinal, EncodeReport(ReportOf(false, true), layout_).front()});
 }
 
 std::vector<double> Brain::Fleet() {
@@ -176,7 +214,7 @@
   bool others_hear = true;
   for (std::size_t p = 0; p < peers_.rows.size(); ++p) {
     const Peer& peer = peers_.rows[p];
-    if (static_cast<int>(p) == s_.ordinal || peer.heard_at <= since) continue;
+    if (static_cast<int>(p) == s_.ordinal || !peer.RowKnown(since)) continue;
     if (peer.view == 0 || peer.view != agreed_.view()) continue;
     heard += 1;
     others_hear = others_hear && peer.hears_all;
--- a/src/brain.h
+++ b/src/brain.h
@@ -36,6 +36,7 @@
 
   void KeepRoom(RoomKeeper* room) { room_keeper_ = room; }
   std::uint64_t version() const { return version_; }
+  std::uint64_t refused_messages() const { return refused_messages_; }
   std::vector<WorkerView> Views() const;
   double DemandPart() const;
   void Agree(const Parts& parts);
@@ -51,8 +52,10 @@
   void Decline(const Job& job);
 
   // Peer reports.
-  std::string Message(bool fresh, std::vector<UsageReport::Usage> counts,
-                      bool to_mate = false) const;
+  UsageReport ReportOf(bool fresh, bool to_mate) const;
+  void TellPeers(const std::vector<int>& whom, bool fresh, std::vector<UsageReport::Usage> counts);
+  void TellMate();
+  void Take(int sender, const UsageReport& report);
   void Report();
   void On(const PeerMessage& e);
   static std::uint16_t Tag(const Worker& w) { return static_cast<std::uint16_t>(w.hash); }
@@ -69,19 +72,17 @@
   double Carried(double mine);
   const ClassSettings& ClassOf(int c) const { return s_.classes[Idx(c)]; }
 
-  // What all learn together in a large tier, after the rates: workers asked and those that had
-  // room, per second; time and jobs of each class; pace, jobs and slots of each kind.
-  std::size_t AskedAt() const { return Idx(tenants_ + 3); }
+  // Where the row has what all learn together in a large tier.
+  std::size_t AskedAt() const { return layout_.AskedAt(); }
   std::size_t LoreOf(int cls, int kind) const {
-    return AskedAt() + 2 + Idx(kind < 0 ? 2 * cls : 2 * lore_classes_ + 3 * kind);
+    return kind < 0 ? layout_.ClassAt(Idx(cls)) : layout_.KindAt(Idx(kind));
   }
-  std::size_t LoreSize() const { return Idx(2 + 2 * lore_classes_ + 3 * std::max(1, s_.kinds)); }
   // The share of workers that have room, as the whole tier finds it.
   double Found(double unasked) const {
     const double asked = direct_ ? 0.0 : mean_[AskedAt()];
     return asked > 0 ? mean_[AskedAt() + 1] / asked : unasked;
   }
-  void LearnFromPeers(const std::vector<double>& told);
+  void LearnFromPeers(const UsageReport& told);
 
   // Placement.
   int zones() const { return std::max(1, s_.zones); }
@@ -161,11 +162,13 @@
   // Buckets and refusals.
   std::vector<Bucket> buckets_;
   RecentPrints refused_;
-  // Reports: demand by tenant, then sends, fulls and late starts, all per second.
+  // Reports: `own_` and, in a large tier, `mean_` are rows as `layout_` has them.
+  RowLayout layout_;
   bool direct_ = true, measured_ = false, heard_peers_ = false;
   double interval_ = kReportS, reported_at_ = 0, sends_ = 0, fulls_ = 0, lates_ = 0;
   std::vector<double> own_, mean_;
   PeerTable peers_;
+  std::uint64_t refused_messages_ = 0;
   Mate mate_;
   AgreedPart agreed_;
   double all_sends_ = 0;  // of those heard, as of the last report
--- /dev/null
+++ b/src/peer_report.h
@@ -0,0 +1,68 @@
+// The messages in which dispatchers tell each other their usage, and their encoding in datagrams.
+#ifndef DECKSAIL_SRC_PEER_REPORT_H_
+#define DECKSAIL_SRC_PEER_REPORT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace decksail {
+
+// Where each figure stands in the row of rates of a report: demand by tenant, then sends, jobs that
+// found all workers full, and late starts. In a large tier these follow: workers asked and those
+// that had room; time and jobs of each class; pace, jobs and slots of each worker kind.
+struct RowLayout {
+  static constexpr std::size_t kSignals = 3, kProbeFigures = 2, kClassFigures = 2, kKindFigures = 3;
+
+  std::size_t tenants = 1;
+  bool large_tier = false;
+  std::size_t classes = 0, kinds = 0;  // as far as a large tier learns of them together
+
+  std::size_t AskedAt() const { return tenants + kSignals; }
+  std::size_t ClassAt(std::size_t cls) const {
+    return AskedAt() + kProbeFigures + kClassFigures * cls;
+  }
+  std::size_t KindAt(std::size_t kind) const { return ClassAt(classes) + kKindFigures * kind; }
+  std::size_t size() const { return large_tier ? KindAt(kinds) : AskedAt(); }
+
+  // The first index of the group that `index` belongs to. Figures of a group, such as time and jobs
+  // of a class, mean something only together: a datagram holds all of them or none.
+  std::size_t GroupStart(std::size_t index) const;
+};
+
+// A report, or the part of one that a datagram holds.
+struct UsageReport {
+  // Jobs of a bucket since the last report. Receivers decide nothing by it.
+  struct Usage {
+    int bucket = 0;
+    int allowed = 0, denied = 0;
+  };
+  bool fresh = false;         // the sender has just started and asks to be told
+  double rate = 0;            // its fleet rate; 0: admits everything
+  std::vector<double> rates;  // per second, as RowLayout has them, from index `first` on
+  // Slots that the sender has out at each worker, named by 16 bits of its hash. Those it has none
+  // out at are left out. Only in the part that begins the row.
+  std::vector<std::pair<std::uint16_t, int>> out;
+  std::vector<Usage> usage;  // as many as fit beside a whole row; none in parts
+  // Where the tier agrees on shares (AgreedPart): the sender hears all members, and six bits of the
+  // view that it has its share in; 0: it is cut off.
+  bool hears_all = false;
+  std::uint8_t view = 0;
+  std::size_t first = 0;
+
+  bool BeginsRow() const { return first == 0; }
+};
+
+// The datagrams of a whole report (`first` is 0), kMostPeerBytes long at most each. The one that
+// begins the row comes first.
+std::vector<std::string> EncodeReport(const UsageReport& report, const RowLayout& layout);
+
+// Reads one datagram. False for a damaged or foreign one, and one for a row of another size.
+bool DecodeReport(std::string_view body, const RowLayout& layout, UsageReport* report);
+
+}  // namespace decksail
+
+#endif  // DECKSAIL_SRC_PEER_REPORT_H_
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -99,39 +99,35 @@
   const double sent = std::max(own_[Idx(tenants_)], direct_ ? 0.0 : mean_[Idx(tenants_)]);
   carried_ = Carried(std::max(carried_ * std::exp(-span / kCarriedS), sent / std::max(1, ready_)));
   measured_ = true;
-  if (mate_.present) actions_->push_back(TellPeer{s_.ordinal, Message(false, {}, true)});
+  if (mate_.present) TellMate();
   if (s_.peers && s_.dispatchers > 1 && !mate_.leaving) {
-    const std::string message = Message(!heard_peers_, std::move(counts));
+    std::vector<int> told;
     for (int i = 0; i < (direct_ ? s_.dispatchers : kFanout); ++i) {
       const int whom = direct_ ? i : random_.OtherThan(s_.ordinal, s_.dispatchers);
-      if (whom != s_.ordinal) actions_->push_back(TellPeer{whom, message});
+      if (whom != s_.ordinal) told.push_back(whom);
     }
+    TellPeers(told, !heard_peers_, std::move(counts));
   }
   Control(span);
 }
 
 void Brain::On(const PeerMessage& e) {
   UsageReport report;
-  if (e.sender == s_.ordinal && DecodeReport(e.body, own_.size(), &report)) {
-    peers_.mate = {now_, {}, std::move(report.out), false, 0};
+  const bool readable = DecodeReport(e.body, layout_, &report);
+  if (e.sender == s_.ordinal && readable && report.BeginsRow()) {
+    peers_.mate.TakeOut(report, now_);
     return SumOthers();
   }
   const bool peer = e.sender >= 0 && e.sender < s_.dispatchers && e.sender != s_.ordinal;
-  if (!s_.peers || !peer || !DecodeReport(e.body, own_.size(), &report)) return;
+  if (!s_.peers || !peer || !readable) return void(++refused_messages_);
+  Take(e.sender, report);
+  if (!report.BeginsRow()) return;  // what follows counts once a report
   heard_peers_ = true;
-  if (direct_) {
-    peers_.rows[Idx(e.sender)] = {now_, std::move(report.rates), std::move(report.out),
-                                  report.hears_all, report.view};
-    SumOthers();
-  } else {
-    for (std::size_t i = 0; i < mean_.size(); ++i) mean_[i] = (mean_[i] + report.rates[i]) / 2;
-    LearnFromPeers(report.rates);
-  }
   // Rates draw together, but slowly: else the many that have not cut yet undo each cut at once.
   const double weight = rate_ == kInf ? 1 : kFollow / (direct_ ? s_.dispatchers - 1 : kFanout);
   if (report.rate > 0) rate_ = std::min(rate_, 1e12) * (1 - weight) + report.rate * weight;
   // A restarted dispatcher is told at once what the fleet does: not held to one Nth for long.
-  if (report.fresh && measured_) actions_->push_back(TellPeer{e.sender, Message(false, {})});
+  if (report.fresh && measured_) TellPeers({e.sender}, false, {});
 }
 
 }  // namespace decksail
--- a/src/scheduling/desk.h
+++ b/src/scheduling/desk.h
@@ -28,6 +28,7 @@
   bool Avoids(std::string_view worker) const { return balancer_.Avoids(worker); }
   std::vector<decksail::WorkerView> Workers() const { return balancer_.Workers(); }
   std::string Learned() const { return balancer_.Learned(); }
+  std::uint64_t RefusedPeerMessages() const { return balancer_.RefusedPeerMessages(); }
   void Agree(const decksail::Parts& parts) { balancer_.Agree(parts); }
   bool Learn(std::string_view text, const std::vector<int>& classes) {
     return balancer_.Learn(text, classes);
--- a/src/state.h
+++ b/src/state.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "decksail/balancer.h"
+#include "peer_report.h"
 #include "support.h"
 
 namespace decksail {
@@ -27,11 +28,11 @@
   double capacity = 1, born = 0;
   double seen_at = 0;  // last named by a list
   double told_slots = 0, told_memory = 0;
-  double out = 0;     // own slots out
+  double out = 0;         // own slots out
   double memory_out = 0;  // and memory
-  double others = 0;  // peers' slots out, as they last told
-  double mate = 0;    // of these, the ones of this dispatcher's other process
-  double limit = 1;  // learned threshold on own slots out
+  double others = 0;      // peers' slots out, as they last told
+  double mate = 0;        // of these, the ones of this dispatcher's other process
+  double limit = 1;       // learned threshold on own slots out
   // Load report, as far as it is known.
   double free = 0, queued = 0, held = -1, memory = kInf, report_at = -kInf, sent_since = 0;
   // Pace: seconds taken per second expected, and how much has been seen.
@@ -41,11 +42,12 @@
   bool ejected = false, probation = false;
   // Cold budget. Put back by hand, it is as cold as after a start, which the list may tell late.
   double cold_tokens = 0, cold_at = 0, back_at = 0;
-  std::uint64_t keys[2] = {0, 0};  // the last keys this dispatcher sent there
+  std::uint64_t keys[2] = {0, 0};                   // the last keys this dispatcher sent there
   double out_area = 0, out_at = 0, area_since = 0;  // own slots out over time, since area_since
 
   bool Warm(std::uint64_t key) const { return key != 0 && (keys[0] == key || keys[1] == key); }
-  // Own sends and their ends. Says whether the key was among the last sent there; from now on it is.
+  // Own sends and their ends. Says whether the key was among the last sent there; from now on it
+  // is.
   bool Sent(double slots, double mem, std::uint64_t key, double now) {
     Mark(now);
     out += slots;
@@ -75,8 +77,10 @@
 
   template <typename Visitor>
   void Visit(Visitor& v) {  // what a process hands to the one that replaces it
-    v(name, hash, zone, kind, cell, capacity, born, listed, out_by_hand, limit, pace, pace_n, pace_at, wait, wait_at);
-    v(heard_at, probed_at, eject_until, eject_s, errors, ejected, probation, cold_tokens, cold_at, back_at);
+    v(name, hash, zone, kind, cell, capacity, born, listed, out_by_hand, limit, pace, pace_n,
+      pace_at, wait, wait_at);
+    v(heard_at, probed_at, eject_until, eject_s, errors, ejected, probation, cold_tokens, cold_at,
+      back_at);
   }
 
   void Follow(const Member& m, double now, int kinds, int zones) {
@@ -132,12 +136,12 @@
   int awaited = 0;         // of the others, yet to answer
   int cold_drawn = -1;     // the one cold worker that it may go to, in a large tier
   bool ended = false, dropped = false;
-  bool on_hold = false;    // waits for room
+  bool on_hold = false;  // waits for room
   bool hold_watched = false, impossible = false;
-  int found = -1;          // where it is said to be
+  int found = -1;      // where it is said to be
   int most_tries = 1;  // as the settings were when it came
-  int fulls = 0;      // how often it was turned away
-  bool late = false;  // kept from starting until its aim was at stake
+  int fulls = 0;       // how often it was turned away
+  bool late = false;   // kept from starting until its aim was at stake
 
   template <typename Test>
   bool Any(Test test) const {
@@ -189,13 +193,39 @@
   double demand = 0, rate = kInf, share = 1, tokens = 0, at = 0;
 };
 
+// The last word of a peer. A row that doesn't fit one datagram comes in parts, each taken by
+// itself.
 struct Peer {
-  double heard_at = -kInf;
-  std::vector<double> values;
+  double heard_at = -kInf;                         // of any part
+  double out_told_at = -kInf;                      // of the part that says what it has out
+  std::vector<double> values;                      // its row of rates
+  std::vector<double> values_at;                   // when each of them was told
   std::vector<std::pair<std::uint16_t, int>> out;  // slots out by worker
   // Where parts are agreed on: it hears all that have one, and the view that it has its part in.
   bool hears_all = false;
   std::uint8_t view = 0;
+
+  void Take(const UsageReport& report, std::size_t row_size, double now) {
+    heard_at = now;
+    hears_all = report.hears_all;
+    view = report.view;
+    values.resize(row_size, 0.0);
+    values_at.resize(row_size, -kInf);
+    const auto first = static_cast<std::ptrdiff_t>(report.first);
+    std::copy(report.rates.begin(), report.rates.end(), values.begin() + first);
+    std::fill_n(values_at.begin() + first, report.rates.size(), now);
+    if (report.BeginsRow()) TakeOut(report, now);
+  }
+  void TakeOut(const UsageReport& report, double now) {
+    out_told_at = now;
+    out = report.out;
+  }
+  // Every rate of its row was told after `since`. Else the row says nothing: a rate that never
+  // came, or that is of long ago, is neither zero nor what it was.
+  bool RowKnown(double since) const {
+    return heard_at > since && std::all_of(values_at.begin(), values_at.end(),
+                                           [since](double at) { return at > since; });
+  }
 };
 
 // The latest reports of peers, one row each.
@@ -207,7 +237,7 @@
   void SumOut(std::vector<Worker>* workers, double since) const {
     for (Worker& w : *workers) w.others = w.mate = 0;
     const auto add = [&](const Peer& peer, bool is_mate) {
-      if (peer.heard_at < since) return;
+      if (peer.out_told_at < since) return;
       for (const auto& [tag, out] : peer.out) {
         for (Worker& w : *workers) {
           if (static_cast<std::uint16_t>(w.hash) != tag) continue;
@@ -220,16 +250,17 @@
     add(mate, true);
   }
 
-  // The sum of own and fresh rows, peers never heard taken as the average one. Those unheard since
-  // `since` are dead.
+  // The sum of own and fresh rows. Peers never heard, and those heard whose row isn't known whole,
+  // are taken as the average one. Those unheard since `since` are dead.
   std::vector<double> Fleet(std::vector<double> sum, int me, double since) const {
     double known = 1, alive = 1;
     for (std::size_t p = 0; p < rows.size(); ++p) {
       const bool never = rows[p].heard_at == -kInf, fresh = rows[p].heard_at > since;
       if (static_cast<int>(p) == me || (!never && !fresh)) continue;
       alive += 1;
-      known += fresh;
-      for (std::size_t i = 0; fresh && i < sum.size(); ++i) sum[i] += rows[p].values[i];
+      if (!rows[p].RowKnown(since)) continue;
+      known += 1;
+      for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += rows[p].values[i];
     }
     for (double& v : sum) v *= alive / known;
     return sum;
--- a/src/support.h
+++ b/src/support.h
@@ -1,5 +1,4 @@
-// Helpers of the decision module that decide nothing: seeded random numbers, hashing, the form of
-// peer messages.
+// Helpers of the decision module that decide nothing: seeded random numbers, means, hashing.
 #ifndef DECKSAIL_SRC_SUPPORT_H_
 #define DECKSAIL_SRC_SUPPORT_H_
 
@@ -112,9 +111,9 @@
       out.append(reinterpret_cast<const char*>(&v), sizeof v);
     } else if constexpr (requires { v.first; }) {
       (*this)(v.first, v.second);
-    } else if constexpr (requires(T& t) { t.Visit(*this); }) {
+    } else if constexpr (requires(T & t) { t.Visit(*this); }) {
       const_cast<T&>(v).Visit(*this);  // a Saver changes nothing
-    } else {  // text, vectors
+    } else {                           // text, vectors
       Put(v.size());
       for (const auto& item : v) Put(item);
     }
@@ -156,29 +155,6 @@
 template <typename T>
 using TextMap = std::unordered_map<std::string, T, TextHash, std::equal_to<>>;
 
-// What dispatchers tell each other: usage of buckets since the last report and a row of rates.
-struct UsageReport {
-  struct Usage {
-    int bucket = 0;
-    int allowed = 0, denied = 0;
-  };
-  bool fresh = false;         // the sender has just started and asks to be told
-  double rate = 0;            // its fleet rate; 0: admits everything
-  std::vector<double> rates;  // per second: demand by tenant, first sends, jobs that found all full
-  // Slots that the sender has out at each worker, named by 16 bits of its hash. Those it has none
-  // out at are left out.
-  std::vector<std::pair<std::uint16_t, int>> out;
-  std::vector<Usage> usage;  // buckets used since the last report, as many as fit
-  // Where parts are agreed on: the sender hears all that have one, and the view that it has its part
-  // in, six bits of it; 0: it is cut off.
-  bool hears_all = false;
-  std::uint8_t view = 0;
-};
-
-std::string EncodeReport(const UsageReport& report);
-// False for damaged or foreign messages, or if it doesn't hold `rates` rates.
-bool DecodeReport(std::string_view body, std::size_t rates, UsageReport* report);
-
 }  // namespace decksail
 
 #endif  // DECKSAIL_SRC_SUPPORT_H_
