Scale rig: tenants and workers measured, each size in a process of its own

Change: bench/scale/ drives the real modules on a virtual clock; 'make scale AXIS=...' writes JSON and a table.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 setup:
 	apt-get update -qq
 	DEBIAN_FRONTEND=noninteractive apt-get install -y -qq g++ cmake make pkg-config clang-format cppcheck \
-	  libevent-dev nlohmann-json3-dev libboost-dev libspdlog-dev libxxhash-dev libsqlite3-dev libgtest-dev libbenchmark-dev
+	  libevent-dev nlohmann-json3-dev libboost-dev libspdlog-dev libxxhash-dev libsqlite3-dev libgtest-dev libbenchmark-dev \
+	  libcli11-dev
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DDECKSAIL_TESTS=OFF
@@ -23,6 +24,14 @@
 	cmake --build build-bench -j4 --target scheduler_bench
 	build-bench/scheduler_bench
 
+# How the parts grow with the fleet: figures in build-scale/scale.json, a table in scale.txt.
+AXIS ?= all
+.PHONY: scale
+scale:
+	cmake -B build-scale -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-scale -j2 --target scale
+	build-scale/scale --axis $(AXIS) --json build-scale/scale.json --out build-scale/scale.txt
+
 # Every source of ours; the adapter and the old tests keep the form they came in.
 OWN = $(filter-out src/wire.% src/benchlink.cpp src/carry.h,\
   $(shell find src examples bench -name '*.cpp' -o -name '*.h' | sort))
--- /dev/null
+++ b/bench/scale/axes.cpp
@@ -0,0 +1,36 @@
+#include "scale/axes.h"
+
+#include "scale/process.h"
+
+namespace millethollow::scale {
+
+const std::vector<Axis>& AllAxes() {
+  static const std::vector<Axis> axes{
+      {"tenants", RunTenants}, {"workers", RunWorkers},    {"dispatchers", RunDispatchers},
+      {"starts", RunStarts},   {"in-flight", RunInFlight}, {"list-changes", RunListChanges},
+      {"members", RunMembers},
+  };
+  return axes;
+}
+
+void AddPoint(const std::vector<Measure>& measures, const std::string& size, AxisResult* result) {
+  Point whole;
+  for (const Measure& measure : measures) {
+    ChildResult child = RunInChild(measure);
+    if (!child.point) {
+      result->failures.push_back(size + ": " + child.failure);
+      continue;
+    }
+    for (Figure& figure : child.point->figures) whole.figures.push_back(std::move(figure));
+  }
+  if (!whole.figures.empty()) result->points.push_back(std::move(whole));
+}
+
+AxisResult NewResult(const std::string& name) {
+  AxisResult result;
+  result.name = name;
+  result.command = "make scale AXIS=" + name;
+  return result;
+}
+
+}  // namespace millethollow::scale
--- /dev/null
+++ b/bench/scale/axis_members.cpp
@@ -0,0 +1,103 @@
+// Members: what membership costs each member, and how long a fact takes to be at the last one.
+#include "membership_world.h"
+#include "net/cluster/frame.h"
+#include "scale/axes.h"
+#include "scale/process.h"
+#include "scale/statistics.h"
+
+namespace millethollow::scale {
+namespace {
+
+using membership::World;
+
+constexpr double kJoinMostS = 60;  // for all to be in one view
+constexpr double kFactMostS = 30;
+constexpr double kFactStepS = 0.01;
+constexpr char kWorker[] = "worker-1";
+
+struct Traffic {
+  double datagrams = 0, bytes = 0;
+};
+
+Traffic TrafficOf(World* world) {
+  Traffic sum;
+  for (std::size_t i = 0; i < world->size(); ++i) {
+    sum.datagrams += static_cast<double>(world->node(i).datagrams);
+    sum.bytes += static_cast<double>(world->node(i).bytes);
+  }
+  return sum;
+}
+
+std::size_t FrameBytes(const membership::Frame& frame) {
+  return cluster::Encode(cluster::Header{}, cluster::Body(frame)).size();
+}
+
+// Seconds until all hold the worker out; -1: not within kFactMostS.
+double SpreadFact(World* world) {
+  const double told_at = world->now();
+  world->Say(0, kWorker, true);
+  while (world->now() < told_at + kFactMostS) {
+    world->RunUntil(world->now() + kFactStepS);
+    std::size_t hold = 0;
+    for (std::size_t i = 0; i < world->size(); ++i) hold += world->Out(i, kWorker);
+    if (hold == world->size()) return world->now() - told_at;
+  }
+  return -1;
+}
+
+Point MeasureMembers(int members, double seconds, std::uint64_t seed) {
+  World::Options options;
+  options.members = static_cast<std::size_t>(members);
+  options.voters = 5;
+  options.check = false;
+  const std::size_t memory_before = ResidentMemory();
+  World world(seed, options);
+  world.StartAll();
+  const double joined_by = world.now() + kJoinMostS;
+  while (!world.Whole() && world.now() < joined_by) world.RunUntil(world.now() + 0.25);
+  const bool whole = world.Whole();
+  const double joined_at = world.now();
+  const double count = members;
+  // Processor time first, with frames uncounted; then their bytes.
+  const double spent_before = ProcessorSeconds();
+  world.RunUntil(world.now() + seconds);
+  const double spent = ProcessorSeconds() - spent_before;
+  const Traffic before = TrafficOf(&world);
+  world.size_of = FrameBytes;
+  world.RunUntil(world.now() + seconds);
+  const Traffic after = TrafficOf(&world);
+  const std::size_t memory = ResidentMemory() - memory_before;
+  const double fact_s = SpreadFact(&world);
+  Point point;
+  point.Computed("members", "member", members);
+  point.Computed("one_view", "yes=1", whole ? 1 : 0);
+  point.Computed("joined_after", "s", joined_at);
+  point.Computed("datagrams_each", "datagram/s",
+                 (after.datagrams - before.datagrams) / seconds / count);
+  point.Computed("bytes_each", "B/s", (after.bytes - before.bytes) / seconds / count);
+  point.Computed("fact_at_last", "s", fact_s);
+  point.Measured("processor_each", "ns/s", 1e9 * spent / seconds / count);
+  point.Measured("memory_each", "KiB",
+                 static_cast<double>(memory) / count / static_cast<double>(kKibibyte));
+  return point;
+}
+
+}  // namespace
+
+AxisResult RunMembers(const AxisOptions& options) {
+  AxisResult result = NewResult("members");
+  const std::vector<int> sizes =
+      options.is_short ? std::vector<int>{5, 10, 24, 50} : std::vector<int>{5, 24, 100, 300, 1000};
+  const double seconds = options.is_short ? 2 : 10;
+  for (const int members : sizes) {
+    AddPoint({[=] { return MeasureMembers(members, seconds, options.seed); }},
+             std::to_string(members) + " members", &result);
+  }
+  for (const char* figure :
+       {"datagrams_each", "bytes_each", "processor_each", "memory_each", "fact_at_last"}) {
+    result.trends.push_back(TrendOf(figure, result.points));
+  }
+  return result;
+}
+
+}  // namespace millethollow::scale
--- /dev/null
+++ b/bench/scale/axis_workers.cpp
@@ -0,0 +1,212 @@
+// Workers: what a list costs to read and to hold, a change of it, and a decision by it.
+#include <stdexcept>
+
+#include "net/discovery.h"
+#include "scale/axes.h"
+#include "scale/fixtures.h"
+#include "scale/planner_fixture.h"
+#include "scale/process.h"
+#include "scale/statistics.h"
+
+namespace millethollow::scale {
+namespace {
+
+constexpr int kDirectTier = 24;   // the largest tier whose dispatchers all hear each other
+constexpr int kToldWorkers = 40;  // workers that a report names at most
+constexpr double kJobGapS = 0.0005;
+constexpr double kReportGapS = 0.5;
+constexpr std::size_t kMostList = 4 * kMebibyte;  // a longer list is not read
+
+struct Effort {
+  int decisions = 20000;
+  int keyed_decisions = 500;
+  int changes = 200;
+  int reports = 50;
+  int list_readings = 5;
+};
+
+Effort EffortOf(const AxisOptions& options) {
+  if (options.is_short) return {500, 50, 20, 5, 1};
+  return {};
+}
+
+double InMebibytes(std::size_t bytes) {
+  return static_cast<double>(bytes) / static_cast<double>(kMebibyte);
+}
+
+Samples PlannerDecisions(PlannerFixture* fixture, int count, bool keyed) {
+  Samples samples;
+  for (int i = 0; i < count; ++i) {
+    const std::string key = keyed ? Numbered("key-", i) : "";
+    const Stopwatch watch;
+    const RequestId id = fixture->Take(keyed ? kKeyedClass : kPlainClass, key);
+    samples.Add(watch.Nanoseconds());
+    if (id == 0) throw std::runtime_error("a job found no worker in an empty fleet");
+    fixture->Serve(id);
+    fixture->Advance(kJobGapS);
+  }
+  return samples;
+}
+
+Point MeasurePlanner(int workers, const Effort& effort, std::uint64_t seed) {
+  Point point;
+  point.Computed("workers", "worker", workers);
+  const std::size_t before = ResidentMemory();
+  PlannerFixture fixture(workers, seed);
+  point.Measured("rss_after_list", "MiB", InMebibytes(ResidentMemory()));
+  point.Measured("rss_of_list", "MiB", InMebibytes(ResidentMemory() - before));
+  PlannerDecisions(&fixture, effort.decisions / 10, false);  // until caches and maps are warm
+  AddQuantiles("planner_decision", PlannerDecisions(&fixture, effort.decisions, false), &point);
+  AddQuantiles("planner_keyed_decision", PlannerDecisions(&fixture, effort.keyed_decisions, true),
+               &point);
+  Samples changes;
+  for (int i = 0; i < effort.changes; ++i) {
+    const Stopwatch watch;
+    fixture.ChangeWorkers(1);
+    changes.Add(watch.Nanoseconds());
+  }
+  AddQuantiles("planner_change", changes, &point);
+  point.Measured("rss_after_work", "MiB", InMebibytes(ResidentMemory()));
+  return point;
+}
+
+// One decision module by itself.
+class BalancerFixture {
+ public:
+  BalancerFixture(int workers, int ordinal, std::uint64_t seed)
+      : balancer_(SettingsOf(ordinal), seed), members_(Workers(workers)) {
+    Handle(decksail::Started{});
+    Handle(decksail::MembersKnown{decksail::ListKind::kReplace, &members_});
+  }
+  decksail::Actions Handle(const decksail::Event& event) {
+    decksail::Actions actions;
+    balancer_.Handle(now_, event, &actions);
+    return actions;
+  }
+  void Advance(double seconds) { now_ += seconds; }
+  std::string Take() {
+    std::string id = Numbered("j", next_job_++);
+    decksail::JobArrived job;
+    job.id = id;
+    job.expires_s = now_ + 30;
+    job.tenant = next_job_ % 13;
+    Handle(job);
+    return id;
+  }
+  void End(const std::string& id) {
+    decksail::AttemptEnded end;
+    end.id = id;
+    end.terminal = true;
+    end.latency_s = 0.01;
+    Handle(end);
+  }
+  // The report to peer 0 that is due now; empty: there is none.
+  std::string ReportToFirstPeer() {
+    for (const decksail::Action& action : Handle(decksail::TimerFired{1})) {
+      const auto* tell = std::get_if<decksail::TellPeer>(&action);
+      if (tell != nullptr && tell->whom == 0) return tell->body;
+    }
+    return "";
+  }
+
+ private:
+  static decksail::Settings SettingsOf(int ordinal) {
+    decksail::Settings settings = FleetSettings(kDirectTier, 13);
+    settings.ordinal = ordinal;
+    return settings;
+  }
+  decksail::Balancer balancer_;
+  std::vector<decksail::Member> members_;
+  double now_ = 1000;
+  int next_job_ = 0;
+};
+
+// What each of the peers says that has jobs at as many workers as a report names.
+std::vector<std::string> ReportsOfPeers(int workers, std::uint64_t seed) {
+  std::vector<std::string> bodies;
+  for (int peer = 1; peer < kDirectTier; ++peer) {
+    BalancerFixture other(workers, peer, seed + static_cast<std::uint64_t>(peer));
+    for (int i = 0; i < kToldWorkers; ++i) other.Take();
+    other.Advance(kReportGapS);
+    bodies.push_back(other.ReportToFirstPeer());
+  }
+  return bodies;
+}
+
+Point MeasureBalancer(int workers, const Effort& effort, std::uint64_t seed) {
+  Point point;
+  const std::vector<std::string> bodies = ReportsOfPeers(workers, seed);
+  BalancerFixture fixture(workers, 0, seed);
+  Samples decisions;
+  for (int i = 0; i < effort.decisions; ++i) {
+    const Stopwatch watch;
+    const std::string id = fixture.Take();
+    decisions.Add(watch.Nanoseconds());
+    fixture.End(id);
+    fixture.Advance(kJobGapS);
+  }
+  AddQuantiles("balancer_decision", decisions, &point);
+  Samples reports, hearings;
+  for (int i = 0; i < effort.reports; ++i) {
+    for (std::size_t peer = 0; peer < bodies.size(); ++peer) {
+      const Stopwatch watch;
+      fixture.Handle(decksail::PeerMessage{static_cast<int>(peer) + 1, bodies[peer]});
+      hearings.Add(watch.Nanoseconds());
+    }
+    fixture.Advance(kReportGapS);
+    const Stopwatch watch;
+    fixture.ReportToFirstPeer();
+    reports.Add(watch.Nanoseconds());
+  }
+  AddQuantiles("report_to_23_peers", reports, &point);
+  AddQuantiles("hear_one_of_23_peers", hearings, &point);
+  return point;
+}
+
+Point MeasureList(int workers, const Effort& effort) {
+  Point point;
+  const std::string plain = ServerListText(workers, -1);
+  const std::size_t indented_bytes = ServerListText(workers, 2).size();
+  point.Computed("list_bytes", "B", static_cast<double>(plain.size()));
+  point.Computed("list_bytes_indented", "B", static_cast<double>(indented_bytes));
+  point.Computed("list_of_bound", "share",
+                 static_cast<double>(plain.size()) / static_cast<double>(kMostList));
+  point.Computed("list_indented_of_bound", "share",
+                 static_cast<double>(indented_bytes) / static_cast<double>(kMostList));
+  Samples readings;
+  for (int i = 0; i < effort.list_readings; ++i) {
+    ServerList list;
+    std::string why;
+    const Stopwatch watch;
+    const bool read = ReadServerList(plain, ZoneNames(), KindNames(), &list, &why);
+    readings.Add(watch.Nanoseconds());
+    if (!read || list.entries.size() != static_cast<std::size_t>(workers)) {
+      throw std::runtime_error("the list can't be read: " + why);
+    }
+  }
+  point.Measured("list_read_p50", "ms", readings.Quantile(0.5) / 1e6);
+  return point;
+}
+
+}  // namespace
+
+AxisResult RunWorkers(const AxisOptions& options) {
+  AxisResult result = NewResult("workers");
+  const std::vector<int> sizes = options.is_short ? std::vector<int>{100, 300, 1000, 3000}
+                                                  : std::vector<int>{1000, 3000, 10000, 23000};
+  const Effort effort = EffortOf(options);
+  for (const int workers : sizes) {
+    AddPoint({[=] { return MeasurePlanner(workers, effort, options.seed); },
+              [=] { return MeasureBalancer(workers, effort, options.seed); },
+              [=] { return MeasureList(workers, effort); }},
+             std::to_string(workers) + " workers", &result);
+  }
+  for (const char* figure :
+       {"rss_of_list", "planner_decision_p50", "planner_keyed_decision_p50", "planner_change_p50",
+        "balancer_decision_p50", "hear_one_of_23_peers_p50", "list_bytes", "list_read_p50"}) {
+    result.trends.push_back(TrendOf(figure, result.points));
+  }
+  return result;
+}
+
+}  // namespace millethollow::scale
--- /dev/null
+++ b/bench/scale/figures.h
@@ -0,0 +1,62 @@
+// What a scale test yields: figures at points along one axis, and straight lines fitted to them.
+#ifndef MILLETHOLLOW_BENCH_SCALE_FIGURES_H_
+#define MILLETHOLLOW_BENCH_SCALE_FIGURES_H_
+
+#include <string>
+#include <vector>
+
+namespace millethollow::scale {
+
+// Equal seeds give equal computed figures; measured ones (times, memory) differ from run to run.
+enum class Source { kComputed, kMeasured };
+
+struct Figure {
+  std::string name;
+  std::string unit;
+  double value = 0;
+  Source source = Source::kComputed;
+};
+
+// All figures at one size. The first figure is the size itself.
+struct Point {
+  std::vector<Figure> figures;
+
+  void Computed(std::string name, std::string unit, double value) {
+    figures.push_back({std::move(name), std::move(unit), value, Source::kComputed});
+  }
+  void Measured(std::string name, std::string unit, double value) {
+    figures.push_back({std::move(name), std::move(unit), value, Source::kMeasured});
+  }
+  const Figure* Find(const std::string& name) const {
+    for (const Figure& figure : figures) {
+      if (figure.name == name) return &figure;
+    }
+    return nullptr;
+  }
+};
+
+// y = intercept + slope * x by least squares.
+struct Line {
+  double slope = 0, intercept = 0;
+  double from = 0, to = 0;    // range of x
+  double relative_error = 0;  // largest residual over the mean of |y|
+};
+
+struct Trend {
+  std::string figure;  // y
+  std::string over;    // x
+  std::string unit;    // of the slope
+  Line line;
+};
+
+struct AxisResult {
+  std::string name;
+  std::string command;  // how to get these figures again
+  std::vector<Point> points;
+  std::vector<Trend> trends;
+  std::vector<std::string> failures;  // points that could not be run, and why
+};
+
+}  // namespace millethollow::scale
+
+#endif  // MILLETHOLLOW_BENCH_SCALE_FIGURES_H_
--- /dev/null
+++ b/bench/scale/hollow_tier.cpp
@@ -0,0 +1,196 @@
+#include "scale/hollow_tier.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+#include "scale/fixtures.h"
+#include "scale/statistics.h"
+
+namespace millethollow::scale {
+namespace {
+
+constexpr double kWorkerWireS = 0.0005, kPeerWireS = 0.01;  // one way
+constexpr double kPatienceS = 5;
+constexpr std::uint64_t kReportTimer = 1;
+
+}  // namespace
+
+HollowTier::HollowTier(const Options& options)
+    : options_(options),
+      members_(Workers(options.workers)),
+      free_slots_(static_cast<std::size_t>(options.workers), kSlotsPerWorker),
+      admitted_(static_cast<std::size_t>(options.tenants)),
+      served_(static_cast<std::size_t>(options.tenants)) {
+  decksail::Settings settings = FleetSettings(options_.dispatchers, options_.tenants);
+  for (std::size_t t = 0; t < options_.quotas_rps.size(); ++t) {
+    settings.tenants[t].quota_rps = options_.quotas_rps[t];
+  }
+  balancers_.reserve(static_cast<std::size_t>(options_.dispatchers));
+  for (int d = 0; d < options_.dispatchers; ++d) {
+    settings.ordinal = d;
+    balancers_.emplace_back(settings, options_.seed * 1000003 + static_cast<std::uint64_t>(d));
+    Handle(d, decksail::Started{});
+    Handle(d, decksail::MembersKnown{decksail::ListKind::kReplace, &members_});
+  }
+  ResetCost();
+}
+
+void HollowTier::SetDemand(std::size_t source, const Demand& demand) {
+  if (sources_.size() <= source) sources_.resize(source + 1);
+  Source& changed = sources_[source];
+  changed.demand = demand;
+  changed.life += 1;
+  changed.next_dispatcher = 0;
+  changed.next_tenant = 0;
+  if (demand.jobs_per_s <= 0) return;
+  At(now_ + 1 / demand.jobs_per_s, [this, source, life = changed.life] { Arrive(source, life); });
+}
+
+void HollowTier::Run(double until) {
+  while (!queue_.empty() && queue_.top().at <= until) {
+    const std::function<void()> what = queue_.top().what;
+    now_ = std::max(now_, queue_.top().at);
+    queue_.pop();
+    what();
+  }
+  now_ = until;
+}
+
+double HollowTier::AdmittedBetween(int tenant, double from, double until) const {
+  return Between(admitted_[static_cast<std::size_t>(tenant)], from, until);
+}
+
+double HollowTier::ServedBetween(int tenant, double from, double until) const {
+  return Between(served_[static_cast<std::size_t>(tenant)], from, until);
+}
+
+double HollowTier::Between(const std::vector<double>& slices, double from, double until) {
+  const auto first = static_cast<std::size_t>(std::lround(from / kSliceS));
+  const auto last = static_cast<std::size_t>(std::lround(until / kSliceS));
+  double sum = 0;
+  for (std::size_t i = first; i < std::min(last, slices.size()); ++i) sum += slices[i];
+  return sum;
+}
+
+void HollowTier::Count(std::vector<std::vector<double>>* slices, int tenant) {
+  std::vector<double>& of_tenant = (*slices)[static_cast<std::size_t>(tenant)];
+  const auto slice = static_cast<std::size_t>(now_ / kSliceS);
+  if (of_tenant.size() <= slice) of_tenant.resize(slice + 1);
+  of_tenant[slice] += 1;
+}
+
+void HollowTier::At(double when, std::function<void()> what) {
+  queue_.push({when, ++order_, std::move(what)});
+}
+
+void HollowTier::Handle(int dispatcher, const decksail::Event& event, bool of_peers) {
+  decksail::Actions actions;
+  const Stopwatch watch;
+  balancers_[static_cast<std::size_t>(dispatcher)].Handle(now_, event, &actions);
+  (of_peers ? cost_.peer_nanoseconds : cost_.job_nanoseconds) += watch.Nanoseconds();
+  for (const decksail::Action& action : actions) {
+    std::visit([this, dispatcher](const auto& a) { Do(dispatcher, a); }, action);
+  }
+}
+
+void HollowTier::Arrive(std::size_t source, std::uint64_t life) {
+  Source& from = sources_[source];
+  if (from.life != life) return;
+  const Demand& demand = from.demand;
+  Job job;
+  job.dispatcher = demand.first_dispatcher + from.next_dispatcher;
+  job.tenant = demand.first_tenant + from.next_tenant;
+  // After each round over the dispatchers the next tenant begins the round: all pairs come up.
+  from.next_dispatcher = (from.next_dispatcher + 1) % demand.dispatchers;
+  from.next_tenant = (from.next_tenant + (from.next_dispatcher == 0 ? 2 : 1)) % demand.tenants;
+  const std::string id = std::to_string(jobs_.size());
+  jobs_.push_back(job);
+  At(now_ + 1 / demand.jobs_per_s, [this, source, life] { Arrive(source, life); });
+  decksail::JobArrived arrived;
+  arrived.id = id;
+  arrived.expires_s = now_ + kPatienceS;
+  arrived.tenant = job.tenant;
+  Handle(job.dispatcher, arrived);
+}
+
+void HollowTier::Do(int, const decksail::Send& send) {
+  Job& job = JobOf(send.id);
+  const auto worker = std::find_if(members_.begin(), members_.end(), [&](const auto& member) {
+    return member.worker == send.worker;
+  });
+  if (job.attempts.empty()) Count(&admitted_, job.tenant);
+  job.attempts.push_back({static_cast<int>(worker - members_.begin())});
+  At(now_ + kWorkerWireS,
+     [this, number = std::stoul(send.id), attempt = static_cast<int>(job.attempts.size()) - 1] {
+       Submit(number, attempt);
+     });
+}
+
+void HollowTier::Submit(std::size_t number, int attempt) {
+  Job& job = jobs_[number];
+  Attempt& at = job.attempts[static_cast<std::size_t>(attempt)];
+  int& free = free_slots_[static_cast<std::size_t>(at.worker)];
+  if (free == 0) {
+    At(now_ + kWorkerWireS, [=, this] { End(number, attempt, decksail::Verdict::kTurnedAway); });
+    return;
+  }
+  free -= 1;
+  at.in_slot = true;
+  At(now_ + kWorkerWireS, [=, this] {
+    const std::string id = std::to_string(number);
+    Handle(jobs_[number].dispatcher, decksail::AttemptNote{id, attempt});
+  });
+  At(now_ + options_.run_s, [=, this] { End(number, attempt, decksail::Verdict::kServed); });
+}
+
+void HollowTier::End(std::size_t number, int attempt, decksail::Verdict verdict) {
+  Job& job = jobs_[number];
+  Attempt& at = job.attempts[static_cast<std::size_t>(attempt)];
+  const bool held_slot = std::exchange(at.in_slot, false);
+  // One that was called off has left its slot already.
+  if (verdict == decksail::Verdict::kServed && !held_slot) return;
+  if (held_slot) free_slots_[static_cast<std::size_t>(at.worker)] += 1;
+  if (verdict == decksail::Verdict::kServed && !std::exchange(job.answered, true)) {
+    Count(&served_, job.tenant);
+  }
+  decksail::AttemptEnded end;
+  const std::string id = std::to_string(number);
+  end.id = id;
+  end.attempt = attempt;
+  end.verdict = verdict;
+  end.latency_s = options_.run_s;
+  end.terminal = job.answered;
+  Handle(job.dispatcher, end);
+}
+
+void HollowTier::Do(int, const decksail::Refuse& refuse) { JobOf(refuse.id).answered = true; }
+
+void HollowTier::Do(int, const decksail::Fail& fail) { JobOf(fail.id).answered = true; }
+
+void HollowTier::Do(int, const decksail::CancelAttempt& cancel) {
+  At(now_ + kWorkerWireS, [this, number = std::stoul(cancel.id), attempt = cancel.attempt] {
+    End(number, attempt, decksail::Verdict::kCalledOff);
+  });
+}
+
+void HollowTier::Do(int dispatcher, const decksail::SetTimer& timer) {
+  At(now_ + timer.after_s, [this, dispatcher, mark = timer.mark] {
+    Handle(dispatcher, decksail::TimerFired{mark}, mark == kReportTimer);
+  });
+}
+
+void HollowTier::Do(int dispatcher, const decksail::TellPeer& tell) {
+  if (tell.body.size() > kMostPeerBytes) {
+    cost_.too_long += 1;
+    return;
+  }
+  cost_.datagrams += 1;
+  cost_.bytes += tell.body.size();
+  At(now_ + kPeerWireS, [this, dispatcher, whom = tell.whom, body = tell.body] {
+    Handle(whom, decksail::PeerMessage{dispatcher, body}, true);
+  });
+}
+
+}  // namespace millethollow::scale
--- /dev/null
+++ b/bench/scale/planner_fixture.cpp
@@ -0,0 +1,73 @@
+#include "scale/planner_fixture.h"
+
+#include "scale/fixtures.h"
+
+namespace millethollow::scale {
+namespace {
+
+constexpr int kDispatchers = 3;
+constexpr int kTenants = 13;  // as many as a report between peers has room for
+constexpr double kPatienceS = 3600;
+
+}  // namespace
+
+PlannerFixture::PlannerFixture(int workers, std::uint64_t seed) : members_(Workers(workers)) {
+  Planner::Hooks hooks;
+  hooks.now = [this] { return now_; };
+  scheduling::Options scheduling_options;
+  scheduling_options.on = true;
+  planner_ = std::make_unique<Planner>(FleetSettings(kDispatchers, kTenants), seed, &deadlines_,
+                                       hooks, &counters_, scheduling_options);
+  planner_->NameClasses({"plain", "keyed"}, {true, true});
+  forwarder_ = planner_->AddForwarder(this, true);
+  planner_->Start({});
+  planner_->ListKnown(decksail::ListKind::kReplace, members_);
+}
+
+RequestId PlannerFixture::Take(int cls, const std::string& key) {
+  Request request;
+  request.id = forwarder_ << kForwarderShift | ++last_id_;
+  request.cls = cls;
+  request.tenant = static_cast<int>(last_id_ % kTenants);
+  request.key = key;
+  request.expires_at = now_ + kPatienceS;
+  last_sent_ = 0;
+  planner_->Taken(request);
+  return last_sent_ == request.id ? request.id : 0;
+}
+
+void PlannerFixture::Serve(RequestId id) {
+  planner_->Began(id, 0);
+  planner_->Ended(id, 0, {.verdict = Verdict::kServed, .latency_s = 0.01});
+}
+
+void PlannerFixture::ChangeWorkers(int count) {
+  std::vector<decksail::Member> changed;
+  for (int i = 0; i < count; ++i) {
+    decksail::Member& member = members_[next_change_ / 2 % members_.size()];
+    member.readiness =
+        next_change_ % 2 == 0 ? decksail::Readiness::kDraining : decksail::Readiness::kReady;
+    ++next_change_;
+    changed.push_back(member);
+  }
+  planner_->ListKnown(decksail::ListKind::kUpdate, changed);
+}
+
+void PlannerFixture::Advance(double seconds) {
+  now_ += seconds;
+  deadlines_.Sweep(now_);
+}
+
+void PlannerFixture::Send(RequestId id, int, const std::string&) { last_sent_ = id; }
+
+void PlannerFixture::Cancel(RequestId id, int attempt) {
+  planner_->Ended(id, attempt, {.verdict = Verdict::kCalledOff});
+}
+
+void PlannerFixture::Probe(const std::string&) {}
+
+void PlannerFixture::Answer(RequestId, const FinalAnswer& answer) {
+  answer.kind == FinalAnswer::Kind::kServed ? ++answered_ : ++refused_;
+}
+
+}  // namespace millethollow::scale
--- /dev/null
+++ b/bench/scale/process.cpp
@@ -0,0 +1,109 @@
+#include "scale/process.h"
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <exception>
+#include <fstream>
+
+#include "scale/report.h"
+
+namespace millethollow::scale {
+namespace {
+
+constexpr int kFailedStatus = 1;
+
+void WriteAll(int descriptor, const std::string& text) {
+  std::size_t written = 0;
+  while (written < text.size()) {
+    const ssize_t n = write(descriptor, text.data() + written, text.size() - written);
+    if (n <= 0) return;
+    written += static_cast<std::size_t>(n);
+  }
+}
+
+std::string ReadAll(int descriptor) {
+  std::string text;
+  char buffer[4096];
+  ssize_t n = 0;
+  while ((n = read(descriptor, buffer, sizeof buffer)) > 0) {
+    text.append(buffer, static_cast<std::size_t>(n));
+  }
+  return text;
+}
+
+[[noreturn]] void MeasureAndExit(int descriptor, const std::function<Point()>& measure) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  int status = 0;
+  try {
+    WriteAll(descriptor, PointToText(measure()));
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "scale: %s\n", e.what());
+    status = kFailedStatus;
+  }
+  close(descriptor);
+  _exit(status);
+}
+
+}  // namespace
+
+std::optional<std::size_t> ReadAvailableMemory(std::istream& meminfo) {
+  std::string word;
+  while (meminfo >> word) {
+    std::size_t kibibytes = 0;
+    if (word == "MemAvailable:" && meminfo >> kibibytes) return kibibytes * kKibibyte;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t> AvailableMemory() {
+  std::ifstream meminfo("/proc/meminfo");
+  return ReadAvailableMemory(meminfo);
+}
+
+std::string RefusalForMemory(std::optional<std::size_t> available, std::size_t needed) {
+  if (!available) return "scale: available memory is not known";
+  if (*available >= needed) return "";
+  return "scale: " + std::to_string(*available / kMebibyte) + " MiB of memory are available, " +
+         std::to_string(needed / kMebibyte) + " MiB are needed";
+}
+
+std::size_t ResidentMemory() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+ChildResult RunInChild(const std::function<Point()>& measure) {
+  int ends[2];
+  if (pipe(ends) != 0) return {std::nullopt, "no pipe"};
+  std::fflush(nullptr);
+  const pid_t child = fork();
+  if (child < 0) {
+    close(ends[0]);
+    close(ends[1]);
+    return {std::nullopt, "no child process"};
+  }
+  if (child == 0) {
+    close(ends[0]);
+    MeasureAndExit(ends[1], measure);
+  }
+  close(ends[1]);
+  const std::string text = ReadAll(ends[0]);
+  close(ends[0]);
+  int status = 0;
+  waitpid(child, &status, 0);
+  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
+    return {std::nullopt, "the child process ended with status " + std::to_string(status)};
+  }
+  std::optional<Point> point = PointFromText(text);
+  if (!point) return {std::nullopt, "the child process gave no figures"};
+  return {std::move(point), ""};
+}
+
+}  // namespace millethollow::scale
--- /dev/null
+++ b/bench/scale/report.cpp
@@ -0,0 +1,168 @@
+#include "scale/report.h"
+
+#include <ctime>
+#include <fstream>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace millethollow::scale {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr int kDigits = 4;  // significant ones in the table
+constexpr std::size_t kColumnGap = 2;
+
+std::string NumberText(double value) {
+  std::ostringstream out;
+  const bool whole = value == static_cast<double>(static_cast<long long>(value));
+  if (whole) {
+    out << static_cast<long long>(value);
+  } else {
+    out << std::setprecision(kDigits) << value;
+  }
+  return out.str();
+}
+
+std::string TimeText() {
+  const std::time_t now = std::time(nullptr);
+  std::tm utc{};
+  gmtime_r(&now, &utc);
+  std::ostringstream out;
+  out << std::put_time(&utc, "%FT%TZ");
+  return out.str();
+}
+
+Json PointToJson(const Point& point) {
+  Json json = Json::object();
+  for (const Figure& figure : point.figures) json[figure.name] = figure.value;
+  return json;
+}
+
+Json TrendToJson(const Trend& trend) {
+  return {{"figure", trend.figure},
+          {"over", trend.over},
+          {"unit", trend.unit},
+          {"slope", trend.line.slope},
+          {"intercept", trend.line.intercept},
+          {"from", trend.line.from},
+          {"to", trend.line.to},
+          {"largest_residual_over_mean", trend.line.relative_error}};
+}
+
+Json AxisToJson(const AxisResult& result, const RunNotes& notes) {
+  Json points = Json::array();
+  Json units = Json::object();
+  Json measured = Json::array();
+  Json trends = Json::array();
+  for (const Point& point : result.points) points.push_back(PointToJson(point));
+  if (!result.points.empty()) {
+    for (const Figure& figure : result.points.front().figures) {
+      units[figure.name] = figure.unit;
+      if (figure.source == Source::kMeasured) measured.push_back(figure.name);
+    }
+  }
+  for (const Trend& trend : result.trends) trends.push_back(TrendToJson(trend));
+  return {{"command", result.command},   {"taken_at", TimeText()},
+          {"seed", notes.seed},          {"short", notes.is_short},
+          {"units", std::move(units)},   {"measured", std::move(measured)},
+          {"points", std::move(points)}, {"slopes", std::move(trends)},
+          {"failures", result.failures}, {"table", TableOf(result)}};
+}
+
+Json ReadObject(const std::string& path) {
+  std::ifstream file(path);
+  Json json = Json::parse(file, nullptr, false);
+  if (!json.is_object() || !json.contains("axes") || !json["axes"].is_object()) {
+    return {{"axes", Json::object()}};
+  }
+  return json;
+}
+
+bool WriteFile(const std::string& path, const std::string& text, std::string* why) {
+  std::ofstream file(path, std::ios::trunc);
+  file << text;
+  file.close();
+  if (file) return true;
+  *why = "scale: can't write " + path;
+  return false;
+}
+
+// Rows of cells, each column as wide as its widest cell.
+std::string Align(const std::vector<std::vector<std::string>>& rows) {
+  std::vector<std::size_t> widths;
+  for (const auto& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::ostringstream out;
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      out << std::setw(static_cast<int>(widths[i] + kColumnGap)) << row[i];
+    }
+    out << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace
+
+std::string PointToText(const Point& point) {
+  Json figures = Json::array();
+  for (const Figure& figure : point.figures) {
+    figures.push_back({figure.name, figure.unit, figure.value, figure.source == Source::kMeasured});
+  }
+  return figures.dump();
+}
+
+std::optional<Point> PointFromText(std::string_view text) {
+  const Json figures = Json::parse(text, nullptr, false);
+  if (!figures.is_array()) return std::nullopt;
+  Point point;
+  for (const Json& figure : figures) {
+    const bool measured = figure.at(3).get<bool>();
+    point.figures.push_back({figure.at(0).get<std::string>(), figure.at(1).get<std::string>(),
+                             figure.at(2).get<double>(),
+                             measured ? Source::kMeasured : Source::kComputed});
+  }
+  return point;
+}
+
+std::string TableOf(const AxisResult& result) {
+  // Sizes go across: there are more figures than sizes.
+  std::vector<std::vector<std::string>> rows;
+  if (!result.points.empty()) {
+    for (const Figure& named : result.points.front().figures) {
+      std::vector<std::string> row{named.name + " [" + named.unit + "]"};
+      for (const Point& point : result.points) {
+        const Figure* figure = point.Find(named.name);
+        row.push_back(figure == nullptr ? "-" : NumberText(figure->value));
+      }
+      rows.push_back(std::move(row));
+    }
+  }
+  std::ostringstream out;
+  out << result.name << "  (" << result.command << ")\n" << Align(rows);
+  for (const Trend& trend : result.trends) {
+    out << "  slope of " << trend.figure << ": " << NumberText(trend.line.slope) << " "
+        << trend.unit << ", from " << NumberText(trend.line.from) << " to "
+        << NumberText(trend.line.to) << ", largest residual "
+        << NumberText(trend.line.relative_error) << " of the mean\n";
+  }
+  for (const std::string& failure : result.failures) out << "  FAILED: " << failure << "\n";
+  return out.str();
+}
+
+bool WriteResult(const AxisResult& result, const RunNotes& notes, const std::string& json_path,
+                 const std::string& table_path, std::string* why) {
+  Json root = ReadObject(json_path);
+  root["axes"][result.name] = AxisToJson(result, notes);
+  std::string table;
+  for (const auto& [name, axis] : root["axes"].items()) {
+    table += axis.value("table", std::string()) + "\n";
+  }
+  return WriteFile(json_path, root.dump(1) + "\n", why) && WriteFile(table_path, table, why);
+}
+
+}  // namespace millethollow::scale
