--- /dev/null
+++ b/src/quota/allocator.cpp
@@ -0,0 +1,334 @@
+#include "quota/allocator.h"
+
+#include <algorithm>
+
+namespace millethollow::quota {
+namespace {
+
+double ValidRate(double rate) { return IsRate(rate) ? rate : 0; }
+
+bool HasBadNumber(const Usage& usage) {
+  return !IsRate(usage.demand) || !IsRate(usage.held) || !IsSpan(usage.left_s);
+}
+
+}  // namespace
+
+Allocator::Allocator(NodeId self, std::vector<NodeId> dispatchers, std::vector<TenantQuota> tenants,
+                     const Timings& timings, double now)
+    : timings_(timings), self_(self), ticked_at_(now) {
+  for (const NodeId dispatcher : dispatchers) dispatchers_.try_emplace(dispatcher);
+  if (tenants.size() > kMostTenants) tenants.resize(kMostTenants);
+  for (const TenantQuota& given : tenants) quotas_[given.tenant] = ValidRate(given.quota);
+}
+
+// ---- which tenants are allocated here ----
+
+// A tenant stays as it is only if no other process can have allocated it in between.
+void Allocator::SetView(double now, const AllocatorView& view) {
+  if (view.epoch <= view_.epoch) return;
+  const bool next = view.epoch == view_.epoch + 1;
+  const AllocatorView before = std::exchange(view_, view);
+  for (auto& [id, dispatcher] : dispatchers_) {
+    dispatcher.current = false;
+    dispatcher.in_chain = false;
+    dispatcher.to_answer = false;
+  }
+  to_send_.clear();
+  for (const auto& [tenant, quota] : quotas_) {
+    const AllocatorMember* allocator = view_.Of(tenant);
+    const AllocatorMember* allocator_before = before.Of(tenant);
+    if (allocator == nullptr || allocator->id != self_) {
+      Drop(tenant);
+    } else if (!next || allocator_before == nullptr || *allocator != *allocator_before) {
+      TakeOver(now, tenant);
+    }
+  }
+}
+
+void Allocator::TakeOver(double now, TenantId tenant) {
+  Drop(tenant);
+  TenantLeases& taken = tenants_[tenant];
+  taken.leasable = timings_.Leasable(quotas_.at(tenant));
+  taken.taken_epoch = view_.epoch;
+  taken.taking_over = true;
+  taken.takeover_ends_at = now + timings_.Widened(timings_.act_s + timings_.span_s);
+  taken.untold = dispatchers_.size();
+  taking_over_.insert(tenant);
+  ++counters_.takeovers;
+}
+
+void Allocator::Drop(TenantId tenant) {
+  const auto found = tenants_.find(tenant);
+  if (found == tenants_.end()) return;
+  for (const auto& [id, share] : found->second.shares) {
+    dispatchers_.at(id).tenants.erase(tenant);
+    dispatchers_.at(id).offers.erase(tenant);
+  }
+  taking_over_.erase(tenant);
+  changed_.erase(tenant);
+  tenants_.erase(found);
+}
+
+void Allocator::EndTakeover(TenantId id, TenantLeases& tenant) {
+  tenant.taking_over = false;
+  taking_over_.erase(id);
+  changed_.insert(id);
+}
+
+void Allocator::EndTakeovers(double now) {
+  const std::set<TenantId> candidates = taking_over_;
+  for (const TenantId id : candidates) {
+    TenantLeases& tenant = tenants_.at(id);
+    if (now >= tenant.takeover_ends_at) EndTakeover(id, tenant);
+  }
+}
+
+void Allocator::SetQuotas(double, const std::vector<TenantQuota>& tenants) {
+  for (const TenantQuota& given : tenants) {
+    const auto quota = quotas_.find(given.tenant);
+    if (quota == quotas_.end()) continue;
+    quota->second = ValidRate(given.quota);
+    const auto found = tenants_.find(given.tenant);
+    if (found == tenants_.end()) continue;
+    found->second.leasable = timings_.Leasable(quota->second);
+    changed_.insert(given.tenant);
+  }
+}
+
+// ---- reports ----
+
+Refusal Allocator::Hear(double now, NodeId from, Life life, const Report& report) {
+  EndLeases(now);
+  EndTakeovers(now);
+  const auto found = dispatchers_.find(from);
+  const Refusal refusal =
+      found == dispatchers_.end() ? Refusal::kNotAllocator : Check(found->second, life, report);
+  if (refusal != Refusal::kNone) {
+    ++counters_.refused[static_cast<std::size_t>(refusal)];
+    return refusal;
+  }
+  ++counters_.reports;
+  Dispatcher& dispatcher = found->second;
+  if (life != dispatcher.life) StartLife(from, dispatcher, life);
+  const std::uint64_t told_before = dispatcher.full_epoch;
+  const bool whole = dispatcher.TakeReport(report);
+  for (const Usage& usage : report.usages) TakeUsage(from, dispatcher, usage, told_before);
+  if (whole) EndFullReport(from, dispatcher, told_before);
+  dispatcher.leases_end_at = now + timings_.Widened(timings_.span_s);
+  dispatcher.lapsed = false;
+  ScheduleEnd(from, dispatcher);
+  dispatcher.to_answer = true;
+  to_send_.insert(from);
+  return Refusal::kNone;
+}
+
+Refusal Allocator::Check(const Dispatcher& dispatcher, Life life, const Report& report) const {
+  if (report.usages.size() > kMostEntries) return Refusal::kTooLarge;
+  if (report.epoch < view_.epoch) return Refusal::kOldEpoch;
+  if (report.epoch > view_.epoch || view_.epoch == 0) return Refusal::kNotAllocator;
+  const Refusal refusal = CheckUsages(report);
+  if (refusal != Refusal::kNone) return refusal;
+  return dispatcher.IsNews(life, report.sequence) ? Refusal::kNone : Refusal::kDoubled;
+}
+
+Refusal Allocator::CheckUsages(const Report& report) const {
+  if (report.sequence == 0) return Refusal::kBadNumber;
+  for (const Usage& usage : report.usages) {
+    if (HasBadNumber(usage)) return Refusal::kBadNumber;
+    if (!quotas_.contains(usage.tenant)) return Refusal::kUnknownTenant;
+    if (!tenants_.contains(usage.tenant)) return Refusal::kNotAllocator;
+  }
+  return Refusal::kNone;
+}
+
+void Allocator::StartLife(NodeId id, Dispatcher& dispatcher, Life life) {
+  dispatcher.StartLife(life);
+  for (const TenantId tenant : dispatcher.tenants) {
+    TenantLeases& leases = tenants_.at(tenant);
+    leases.shares.at(id).StartLife();
+    changed_.insert(tenant);
+  }
+}
+
+void Allocator::TakeUsage(NodeId from, Dispatcher& dispatcher, const Usage& usage,
+                          std::uint64_t told_before) {
+  TenantLeases& tenant = tenants_.at(usage.tenant);
+  const bool trusted = tenant.taking_over && told_before < tenant.taken_epoch;
+  Share& share = tenant.shares[from];
+  dispatcher.tenants.insert(usage.tenant);
+  share.Tell(usage, trusted);
+  if (!share.offered()) dispatcher.offers.erase(usage.tenant);
+  changed_.insert(usage.tenant);
+}
+
+// What the report does not name, the dispatcher does not have.
+void Allocator::EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t told_before) {
+  for (const TenantId id : dispatcher.tenants) {
+    if (dispatcher.named.contains(id)) continue;
+    TenantLeases& tenant = tenants_.at(id);
+    tenant.shares.at(from).TellNothing();
+    changed_.insert(id);
+  }
+  dispatcher.named.clear();
+  const std::set<TenantId> candidates = taking_over_;
+  for (const TenantId id : candidates) {
+    TenantLeases& tenant = tenants_.at(id);
+    const bool first = told_before < tenant.taken_epoch;
+    if (first && --tenant.untold == 0) EndTakeover(id, tenant);
+  }
+}
+
+// ---- the end of leases ----
+
+void Allocator::ScheduleEnd(NodeId id, Dispatcher& dispatcher) {
+  if (dispatcher.checked_at != Dispatcher::kNone) return;
+  dispatcher.checked_at = dispatcher.NextEnd();
+  if (dispatcher.checked_at != Dispatcher::kNone) ends_.emplace(dispatcher.checked_at, id);
+}
+
+// Reports only move ends to later, so each dispatcher is looked at where its earliest was.
+void Allocator::EndLeases(double now) {
+  while (!ends_.empty() && ends_.begin()->first <= now) {
+    const NodeId id = ends_.begin()->second;
+    ends_.erase(ends_.begin());
+    Dispatcher& dispatcher = dispatchers_.at(id);
+    dispatcher.checked_at = Dispatcher::kNone;
+    EndLeasesOf(now, id, dispatcher);
+    ScheduleEnd(id, dispatcher);
+  }
+}
+
+void Allocator::EndLeasesOf(double now, NodeId id, Dispatcher& dispatcher) {
+  const bool present_ends = !dispatcher.lapsed && dispatcher.leases_end_at <= now;
+  const bool former_ends = dispatcher.former_ends_at > 0 && dispatcher.former_ends_at <= now;
+  if (!present_ends && !former_ends) return;
+  for (const TenantId tenant : dispatcher.tenants) {
+    TenantLeases& leases = tenants_.at(tenant);
+    Share& share = leases.shares.at(id);
+    if (present_ends) share.Lapse();
+    if (former_ends) share.former = 0;
+    changed_.insert(tenant);
+  }
+  if (former_ends) dispatcher.former_ends_at = 0;
+  if (!present_ends) return;
+  if (!dispatcher.tenants.empty()) ++counters_.lapses;
+  dispatcher.lapsed = true;
+  dispatcher.current = dispatcher.current && dispatcher.tenants.empty();
+  dispatcher.offers.clear();
+}
+
+// ---- grants ----
+
+void Allocator::Tick(double now, bool may_act, Actions* actions) {
+  ticked_at_ = now;
+  acts_ = may_act;
+  EndLeases(now);
+  EndTakeovers(now);
+  if (!may_act) return;
+  DivideChanged(now);
+  SendGrants(actions);
+}
+
+// Each tenant at most once in report_gap_s.
+void Allocator::DivideChanged(double now) {
+  const std::set<TenantId> candidates = changed_;
+  for (const TenantId id : candidates) {
+    TenantLeases& tenant = tenants_.at(id);
+    if (now < tenant.divided_at + timings_.report_gap_s) continue;
+    changed_.erase(id);
+    Divide(now, id, tenant);
+  }
+}
+
+void Allocator::Divide(double now, TenantId id, TenantLeases& tenant) {
+  tenant.divided_at = now;
+  for (auto share = tenant.shares.begin(); share != tenant.shares.end();) {
+    if (!share->second.Empty()) {
+      ++share;
+      continue;
+    }
+    dispatchers_.at(share->first).tenants.erase(id);
+    share = tenant.shares.erase(share);
+  }
+  const auto open = [&](NodeId dispatcher) {
+    return dispatchers_.at(dispatcher).current && !dispatchers_.at(dispatcher).lapsed;
+  };
+  for (const RateChange& change : tenant.Divide(timings_.hysteresis, open)) {
+    Share& share = tenant.shares.at(change.dispatcher);
+    share.offer = change.rate;
+    share.offer_grant = ++last_grant_;
+    dispatchers_.at(change.dispatcher).offers.insert(id);
+    to_send_.insert(change.dispatcher);
+  }
+}
+
+void Allocator::SendGrants(Actions* actions) {
+  for (const NodeId id : to_send_) SendGrant(id, dispatchers_.at(id), actions);
+  to_send_.clear();
+}
+
+// All that the dispatcher has not told yet goes along each time. One of which not all is known gets
+// nothing, and nothing of it is prolonged: it may hold what is not counted here.
+void Allocator::SendGrant(NodeId id, Dispatcher& dispatcher, Actions* actions) {
+  Grant grant;
+  grant.epoch = view_.epoch;
+  grant.answers = dispatcher.sequence;
+  grant.life = dispatcher.life;
+  grant.want_full = !dispatcher.current && !dispatcher.in_chain;
+  grant.span_s = dispatcher.current ? timings_.span_s : 0;
+  const auto send = [&] {
+    actions->send.emplace_back(id, grant);
+    ++counters_.grants;
+    grant.assignments.clear();
+  };
+  if (dispatcher.current) {
+    for (const TenantId tenant : dispatcher.offers) {
+      const Share& share = tenants_.at(tenant).shares.at(id);
+      grant.assignments.push_back({tenant, share.offer, share.offer_grant});
+      if (grant.assignments.size() == kMostEntries) send();
+    }
+  }
+  if (dispatcher.to_answer || !grant.assignments.empty()) send();
+  dispatcher.to_answer = false;
+}
+
+double Allocator::NextAt() const {
+  double next = ends_.empty() ? Dispatcher::kNone : ends_.begin()->first;
+  for (const TenantId id : taking_over_) next = std::min(next, tenants_.at(id).takeover_ends_at);
+  if (!to_send_.empty() || !changed_.empty()) {
+    // One that may not act is looked at now and then: it may again.
+    const double soon = ticked_at_ + timings_.report_gap_s;
+    if (!acts_) return std::min(next, soon);
+  }
+  if (!to_send_.empty()) return ticked_at_;
+  for (const TenantId id : changed_) {
+    next = std::min(next, tenants_.at(id).divided_at + timings_.report_gap_s);
+  }
+  return next;
+}
+
+// ---- what is known ----
+
+bool Allocator::Allocates(TenantId tenant) const { return tenants_.contains(tenant); }
+
+bool Allocator::TakingOver(double now, TenantId tenant) const {
+  const auto found = tenants_.find(tenant);
+  return found != tenants_.end() && found->second.taking_over &&
+         now < found->second.takeover_ends_at;
+}
+
+double Allocator::Reserved(double now, TenantId tenant) const {
+  const auto found = tenants_.find(tenant);
+  if (found == tenants_.end()) return 0;
+  double in_force = 0;
+  for (const auto& [id, share] : found->second.shares) {
+    const Dispatcher& dispatcher = dispatchers_.at(id);
+    if (now < dispatcher.leases_end_at) in_force += share.Current();
+    if (now < dispatcher.former_ends_at) in_force += share.former;
+  }
+  return TakingOver(now, tenant) ? std::max(in_force, found->second.leasable) : in_force;
+}
+
+std::size_t Allocator::tenants_allocated() const { return tenants_.size(); }
+
+}  // namespace millethollow::quota
--- a/src/quota/allocator.h
+++ b/src/quota/allocator.h
@@ -9,8 +9,12 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
+#include "quota/dispatcher.h"
+#include "quota/leases.h"
 #include "quota/placement.h"
 #include "quota/types.h"
 
@@ -37,8 +41,8 @@
   // A report of the process `life` of dispatcher `from` came. Nothing changes unless kNone is
   // returned; each refusal is counted.
   Refusal Hear(double now, NodeId from, Life life, const Report& report);
-  // Appends the grants that are due. `may_act`: this process holds its place in the view now; where
-  // it does not, nothing is granted.
+  // Appends the grants that are due. `may_act`: this process, named with its life in the view,
+  // holds its place there now; where it does not, nothing is granted.
   void Tick(double now, bool may_act, Actions* actions);
   // When Tick is due next; infinity: never.
   double NextAt() const;
@@ -52,18 +56,41 @@
   const AllocatorCounters& counters() const { return counters_; }
 
  private:
-  struct Share;   // of one tenant at one dispatcher
-  struct Tenant;  // allocated here
-  struct Peer;    // a dispatcher
+  using Due = std::set<std::pair<double, NodeId>>;
+
+  Refusal Check(const Dispatcher& dispatcher, Life life, const Report& report) const;
+  Refusal CheckUsages(const Report& report) const;
+  void TakeUsage(NodeId from, Dispatcher& dispatcher, const Usage& usage,
+                 std::uint64_t told_before);
+  void EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t told_before);
+  void StartLife(NodeId id, Dispatcher& dispatcher, Life life);
+
+  void TakeOver(double now, TenantId tenant);
+  void EndTakeover(TenantId id, TenantLeases& tenant);
+  void EndTakeovers(double now);
+  void Drop(TenantId tenant);
+
+  void EndLeases(double now);
+  void EndLeasesOf(double now, NodeId id, Dispatcher& dispatcher);
+  void ScheduleEnd(NodeId id, Dispatcher& dispatcher);
+
+  void DivideChanged(double now);
+  void Divide(double now, TenantId id, TenantLeases& tenant);
+  void SendGrants(Actions* actions);
+  void SendGrant(NodeId id, Dispatcher& dispatcher, Actions* actions);
 
-  NodeId self_;
   Timings timings_;
   AllocatorView view_;
-  std::vector<NodeId> dispatchers_;
+  NodeId self_;
   std::map<TenantId, double> quotas_;
-  std::map<TenantId, Tenant> tenants_;
-  std::map<NodeId, Peer> peers_;
-  double started_at_;
+  std::map<TenantId, TenantLeases> tenants_;  // allocated here
+  std::map<NodeId, Dispatcher> dispatchers_;
+  std::set<TenantId> taking_over_;
+  std::set<TenantId> changed_;  // to be divided again
+  std::set<NodeId> to_send_;    // dispatchers that a grant is due to
+  Due ends_;                    // of leases: when to look, at which dispatcher
+  double ticked_at_;
+  bool acts_ = false;  // at the last Tick
   std::uint64_t last_grant_ = 0;
   AllocatorCounters counters_;
 };
--- /dev/null
+++ b/src/quota/dispatcher.cpp
@@ -0,0 +1,56 @@
+#include "quota/dispatcher.h"
+
+#include <algorithm>
+
+namespace millethollow::quota {
+namespace {
+
+// Former lives whose late reports are known as such.
+constexpr std::size_t kMostFormerLives = 16;
+
+}  // namespace
+
+bool Dispatcher::IsNews(Life reporter, std::uint64_t number) const {
+  if (reporter == life) return number > sequence;
+  return std::find(former_lives.begin(), former_lives.end(), reporter) == former_lives.end();
+}
+
+void Dispatcher::StartLife(Life started) {
+  if (life != 0) former_lives.push_back(life);
+  if (former_lives.size() > kMostFormerLives) former_lives.pop_front();
+  if (!lapsed) former_ends_at = std::max(former_ends_at, leases_end_at);
+  life = started;
+  sequence = 0;
+  current = false;
+  in_chain = false;
+  lapsed = true;
+  offers.clear();
+}
+
+bool Dispatcher::TakeReport(const Report& report) {
+  const bool gap = report.sequence != sequence + 1;
+  sequence = report.sequence;
+  if (report.full) {
+    in_chain = true;
+    named.clear();
+  } else if (gap) {
+    in_chain = false;
+    current = false;
+  }
+  if (!in_chain) return false;
+  for (const Usage& usage : report.usages) named.insert(usage.tenant);
+  if (report.usages.size() == kMostEntries) return false;
+  in_chain = false;
+  full_epoch = std::max(full_epoch, report.epoch);
+  current = true;
+  return true;
+}
+
+double Dispatcher::NextEnd() const {
+  double next = kNone;
+  if (!lapsed) next = leases_end_at;
+  if (former_ends_at > 0) next = std::min(next, former_ends_at);
+  return next;
+}
+
+}  // namespace millethollow::quota
--- /dev/null
+++ b/src/quota/holder.cpp
@@ -0,0 +1,285 @@
+#include "quota/holder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace millethollow::quota {
+namespace {
+
+// Reports whose time of sending is remembered, for each allocator.
+constexpr std::size_t kMostSent = 64;
+// The first retry of a full report comes after so many report gaps; then doubled.
+constexpr double kRetryGaps = 2;
+
+double ValidRate(double rate) { return IsRate(rate) ? rate : 0; }
+
+}  // namespace
+
+Holder::Holder(NodeId self, Life life, std::size_t dispatchers, std::vector<TenantQuota> tenants,
+               const Timings& timings)
+    : self_(self), life_(life), dispatchers_(dispatchers), timings_(timings) {
+  if (tenants.size() > kMostTenants) tenants.resize(kMostTenants);
+  for (const TenantQuota& given : tenants) {
+    Tenant tenant;
+    tenant.id = given.tenant;
+    tenant.quota = ValidRate(given.quota);
+    index_.emplace(tenant.id, tenants_.size());
+    tenants_.push_back(tenant);
+  }
+}
+
+void Holder::SetView(double now, const AllocatorView& view) {
+  if (view.epoch <= view_.epoch) return;
+  ExpireLeases(now);
+  view_ = view;
+  MoveTenants();
+  RenewLinks(now);
+}
+
+// Grants are numbered by each process of an allocator anew.
+void Holder::MoveTenants() {
+  for (Tenant& tenant : tenants_) {
+    const AllocatorMember* allocator = view_.Of(tenant.id);
+    const AllocatorMember next = allocator == nullptr ? AllocatorMember{} : *allocator;
+    if (next == tenant.allocator) continue;
+    tenant.allocator = next;
+    tenant.grant = 0;
+    tenant.changed = true;
+  }
+}
+
+// Each allocator of the view is told all at once, and whether there is anything or not: one that
+// takes tenants over waits for that.
+void Holder::RenewLinks(double now) {
+  for (auto& [id, link] : links_) {
+    link.active = false;
+    link.tenants.clear();
+  }
+  for (std::size_t i = 0; i < tenants_.size(); ++i) {
+    const AllocatorMember& allocator = tenants_[i].allocator;
+    if (allocator.id == 0) continue;
+    Link& link = links_[allocator.id];
+    link.active = true;
+    link.life = allocator.life;
+    link.tenants.push_back(i);
+  }
+  for (auto& [id, link] : links_) {
+    if (link.active) WantFull(now, id, link);
+  }
+}
+
+void Holder::WantFull(double now, NodeId allocator, Link& link) {
+  link.full = true;
+  link.full_from = 0;
+  link.retry_s = kRetryGaps * timings_.report_gap_s;
+  MakeDue(now, allocator);
+}
+
+void Holder::MakeDue(double now, NodeId allocator) {
+  const auto found = links_.find(allocator);
+  if (found == links_.end() || !found->second.active) return;
+  Link& link = found->second;
+  const double earliest =
+      link.sequence == 0 ? now : std::max(now, link.reported_at + timings_.report_gap_s);
+  link.due_at = std::min(link.due_at, earliest);
+}
+
+void Holder::SetQuotas(double, const std::vector<TenantQuota>& tenants) {
+  for (const TenantQuota& given : tenants) {
+    const auto found = index_.find(given.tenant);
+    if (found != index_.end()) tenants_[found->second].quota = ValidRate(given.quota);
+  }
+}
+
+void Holder::SetDemand(double now, std::size_t tenant, double demand) {
+  Tenant& changed = tenants_.at(tenant);
+  changed.demand = ValidRate(demand);
+  const double difference = std::abs(changed.demand - changed.told_demand);
+  const bool begins_or_ends = (changed.demand > 0) != (changed.told_demand > 0);
+  if (begins_or_ends || difference > timings_.hysteresis * changed.told_demand) {
+    MakeDue(now, changed.allocator.id);
+  }
+}
+
+// A lease that is over stays over: only another grant begins one.
+void Holder::ExpireLeases(double now) {
+  for (Tenant& tenant : tenants_) {
+    if (tenant.rate <= 0 || now < tenant.until) continue;
+    tenant.rate = 0;
+    tenant.changed = true;
+    ++counters_.expiries;
+    MakeDue(now, tenant.allocator.id);
+  }
+}
+
+Refusal Holder::Hear(double now, NodeId from, const Grant& grant) {
+  ExpireLeases(now);
+  const Refusal refusal = Check(from, grant);
+  if (refusal != Refusal::kNone) {
+    ++counters_.refused[static_cast<std::size_t>(refusal)];
+    return refusal;
+  }
+  ++counters_.grants;
+  Link& link = links_.at(from);
+  TakeAnswer(link, grant.answers);
+  const double sent_at = link.sent.front().second;
+  const double until = sent_at + std::min(grant.span_s, timings_.span_s);
+  Prolong(link, until);
+  for (const Assignment& assignment : grant.assignments) {
+    Apply(tenants_[index_.at(assignment.tenant)], assignment, now, until);
+  }
+  // One that answers an earlier report than the full one under way has nothing new to ask.
+  const bool under_way = link.full && link.full_from > grant.answers;
+  if (grant.want_full && !under_way) WantFull(now, from, link);
+  return Refusal::kNone;
+}
+
+void Holder::TakeAnswer(Link& link, std::uint64_t answers) {
+  link.heard_answer = answers;
+  while (link.sent.front().first < answers) link.sent.pop_front();
+  if (link.full_from != 0 && answers >= link.full_from) link.full = false;
+}
+
+Refusal Holder::Check(NodeId from, const Grant& grant) const {
+  if (grant.assignments.size() > kMostEntries) return Refusal::kTooLarge;
+  if (!IsSpan(grant.span_s)) return Refusal::kBadNumber;
+  if (grant.epoch < view_.epoch) return Refusal::kOldEpoch;
+  const auto link = links_.find(from);
+  if (grant.epoch > view_.epoch) return Refusal::kNotAllocator;
+  if (link == links_.end() || !link->second.active) return Refusal::kNotAllocator;
+  if (grant.answers > link->second.sequence) return Refusal::kBadNumber;
+  const Refusal refusal = CheckAssignments(from, grant);
+  if (refusal != Refusal::kNone) return refusal;
+  return IsNews(link->second, grant) ? Refusal::kNone : Refusal::kDoubled;
+}
+
+Refusal Holder::CheckAssignments(NodeId from, const Grant& grant) const {
+  for (const Assignment& assignment : grant.assignments) {
+    if (!IsRate(assignment.rate) || assignment.grant == 0) return Refusal::kBadNumber;
+    const auto found = index_.find(assignment.tenant);
+    if (found == index_.end()) return Refusal::kUnknownTenant;
+    if (tenants_[found->second].allocator.id != from) return Refusal::kNotAllocator;
+  }
+  return Refusal::kNone;
+}
+
+// False for one that came before, came after a later one, or is meant for a former life.
+bool Holder::IsNews(const Link& link, const Grant& grant) const {
+  if (grant.life != life_ || grant.answers < link.heard_answer) return false;
+  if (link.sent.empty() || grant.answers < link.sent.front().first) return false;
+  if (grant.answers > link.heard_answer) return true;
+  return std::any_of(grant.assignments.begin(), grant.assignments.end(), [&](const Assignment& a) {
+    return a.grant > tenants_[index_.at(a.tenant)].grant;
+  });
+}
+
+void Holder::Prolong(Link& link, double until) {
+  for (const std::size_t i : link.tenants) {
+    Tenant& tenant = tenants_[i];
+    if (tenant.rate > 0) tenant.until = std::max(tenant.until, until);
+  }
+}
+
+void Holder::Apply(Tenant& tenant, const Assignment& assignment, double now, double until) {
+  if (assignment.grant < tenant.grant) return;
+  // One that came before is told of again: its allocator does not know yet.
+  tenant.changed = true;
+  if (assignment.grant > tenant.grant) {
+    tenant.grant = assignment.grant;
+    tenant.rate = now < until ? assignment.rate : 0;
+    tenant.until = until;
+  }
+  MakeDue(now, tenant.allocator.id);
+}
+
+void Holder::Tick(double now, Actions* actions) {
+  ExpireLeases(now);
+  for (auto& [id, link] : links_) {
+    if (link.active && now >= NextDue(link)) SendReports(now, id, link, actions);
+  }
+}
+
+// What is to be told; it counts as told from here on.
+std::vector<Usage> Holder::TakeUsages(double now, Link& link) {
+  std::vector<Usage> usages;
+  for (const std::size_t i : link.tenants) {
+    Tenant& tenant = tenants_[i];
+    const bool in_use = tenant.demand > 0 || tenant.rate > 0;
+    const bool news = tenant.changed || tenant.demand != tenant.told_demand;
+    if (!news && !(link.full && in_use)) continue;
+    tenant.changed = false;
+    tenant.told_demand = tenant.demand;
+    const double left_s = tenant.rate > 0 ? tenant.until - now : 0;
+    usages.push_back({tenant.id, tenant.demand, tenant.rate, left_s, tenant.grant});
+  }
+  return usages;
+}
+
+void Holder::SendReports(double now, NodeId allocator, Link& link, Actions* actions) {
+  const bool full = link.full;
+  const std::vector<Usage> usages = TakeUsages(now, link);
+  std::size_t next = 0;
+  bool more = true;
+  while (more) {
+    const std::size_t end = std::min(usages.size(), next + kMostEntries);
+    Report report;
+    report.epoch = view_.epoch;
+    report.sequence = ++link.sequence;
+    report.full = full && next == 0;
+    report.usages.assign(usages.begin() + static_cast<std::ptrdiff_t>(next),
+                         usages.begin() + static_cast<std::ptrdiff_t>(end));
+    // A full one ends with a report that is not filled; others just end.
+    more = full ? report.usages.size() == kMostEntries : end < usages.size();
+    next = end;
+    link.sent.emplace_back(link.sequence, now);
+    actions->send.emplace_back(allocator, std::move(report));
+    ++counters_.reports;
+  }
+  while (link.sent.size() > kMostSent) link.sent.pop_front();
+  link.reported_at = now;
+  link.due_at = kNever;
+  if (!full) return;
+  if (link.full_from != 0) link.retry_s = std::min(2 * link.retry_s, timings_.renew_s);
+  if (link.full_from == 0) link.full_from = link.sequence;
+}
+
+// While it has demand or a lease there, or is not known to be heard.
+bool Holder::NeedsRenewal(const Link& link) const {
+  if (link.heard_answer < link.sequence) return true;
+  return std::any_of(link.tenants.begin(), link.tenants.end(), [&](std::size_t i) {
+    return tenants_[i].told_demand > 0 || tenants_[i].rate > 0;
+  });
+}
+
+double Holder::NextDue(const Link& link) const {
+  const double renewal = NeedsRenewal(link) ? link.reported_at + timings_.renew_s : kNever;
+  const bool unanswered = link.full && link.full_from != 0;
+  const double retry = unanswered ? link.reported_at + link.retry_s : kNever;
+  return std::min({link.due_at, renewal, retry});
+}
+
+double Holder::NextAt() const {
+  double next = kNever;
+  for (const auto& [id, link] : links_) {
+    if (link.active) next = std::min(next, NextDue(link));
+  }
+  for (const Tenant& tenant : tenants_) {
+    if (tenant.rate > 0) next = std::min(next, tenant.until);
+  }
+  return next;
+}
+
+double Holder::Rate(double now, std::size_t tenant) const {
+  return std::min(tenants_.at(tenant).quota, Floor(tenant) + Lease(now, tenant));
+}
+
+double Holder::Lease(double now, std::size_t tenant) const {
+  const Tenant& leased = tenants_.at(tenant);
+  return now < leased.until ? leased.rate : 0;
+}
+
+double Holder::Floor(std::size_t tenant) const {
+  return timings_.Floor(tenants_.at(tenant).quota, dispatchers_);
+}
+
+}  // namespace millethollow::quota
--- a/src/quota/holder.h
+++ b/src/quota/holder.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -21,12 +22,14 @@
 
 class Holder {
  public:
-  // `dispatchers`: how many members of the cluster share each quota, this one among them.
-  // The clock of every `now` counts pauses and never runs back, in seconds.
-  Holder(NodeId self, std::size_t dispatchers, std::vector<TenantQuota> tenants,
+  // `life`: of this process. `dispatchers`: how many members of the cluster share each quota, this
+  // one among them. The clock of every `now` counts pauses and never runs back, in seconds.
+  Holder(NodeId self, Life life, std::size_t dispatchers, std::vector<TenantQuota> tenants,
          const Timings& timings);
 
-  // The agreed view has changed. An older one than is known is left out.
+  // The agreed view has changed. An older one than is known is left out. The first one has this
+  // very life as a member: a view from before it started could have an allocator that was replaced
+  // since, whose grants this dispatcher's former life has promised not to take any more.
   void SetView(double now, const AllocatorView& view);
   // Other quotas of the same tenants, from the settings.
   void SetQuotas(double now, const std::vector<TenantQuota>& tenants);
@@ -52,21 +55,43 @@
   struct Tenant {
     TenantId id = 0;
     double quota = 0, demand = 0, told_demand = 0;
-    double rate = 0, until = -1;  // of the lease
-    std::uint64_t grant = 0;
-    std::uint64_t epoch = 0;  // of the grant applied last
-    NodeId allocator = 0;     // in the view that is known
-    bool changed = false;     // to be told with the next report
+    double rate = 0, until = 0;  // of the lease
+    std::uint64_t grant = 0;     // applied last, of this allocator
+    AllocatorMember allocator;   // in the view that is known; id 0: none
+    bool changed = false;        // beside its demand: to be told with the next report
   };
+  static constexpr double kNever = std::numeric_limits<double>::infinity();
   struct Link {  // to one allocator
     Life life = 0;
     std::uint64_t sequence = 0, heard_answer = 0;
-    double reported_at = -1e18, due_at = 0;
-    bool full = true;
+    double reported_at = 0;
+    double due_at = kNever;       // the next report, if it is due for news
+    bool active = false;          // allocates in the view that is known
+    bool full = false;            // every report is full until one such is answered
+    std::uint64_t full_from = 0;  // the last sequence of the first such report; 0: none sent yet
+    double retry_s = 0;           // from a full report to the next, while none is answered
+    std::vector<std::size_t> tenants;                   // that it allocates, by index
     std::deque<std::pair<std::uint64_t, double>> sent;  // sequence, and when; bounded
   };
 
+  void ExpireLeases(double now);
+  void MoveTenants();
+  void RenewLinks(double now);
+  void MakeDue(double now, NodeId allocator);
+  void WantFull(double now, NodeId allocator, Link& link);
+  void TakeAnswer(Link& link, std::uint64_t answers);
+  Refusal Check(NodeId from, const Grant& grant) const;
+  Refusal CheckAssignments(NodeId from, const Grant& grant) const;
+  bool IsNews(const Link& link, const Grant& grant) const;
+  void Prolong(Link& link, double until);
+  void Apply(Tenant& tenant, const Assignment& assignment, double now, double until);
+  std::vector<Usage> TakeUsages(double now, Link& link);
+  void SendReports(double now, NodeId allocator, Link& link, Actions* actions);
+  double NextDue(const Link& link) const;
+  bool NeedsRenewal(const Link& link) const;
+
   NodeId self_;
+  Life life_;
   std::size_t dispatchers_;
   Timings timings_;
   AllocatorView view_;
--- /dev/null
+++ b/src/quota/split.cpp
@@ -0,0 +1,67 @@
+#include "quota/split.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <numeric>
+
+namespace millethollow::quota {
+namespace {
+
+double Sum(const std::vector<double>& rates) {
+  return std::accumulate(rates.begin(), rates.end(), 0.0);
+}
+
+// Whether a claim is to have its proportional rate whatever the others need.
+bool MustChange(double rate, double target, double hysteresis) {
+  if (rate <= 0 || target <= 0) return rate != target;
+  return std::abs(target - rate) > hysteresis * rate;
+}
+
+// The claims that are above (`surplus`) or below their target, furthest first.
+std::vector<std::size_t> Candidates(const std::vector<double>& rates,
+                                    const std::vector<double>& targets, bool surplus) {
+  const auto distance = [&](std::size_t i) {
+    return surplus ? rates[i] - targets[i] : targets[i] - rates[i];
+  };
+  std::vector<std::size_t> found;
+  for (std::size_t i = 0; i < rates.size(); ++i) {
+    if (distance(i) > 0) found.push_back(i);
+  }
+  std::stable_sort(found.begin(), found.end(),
+                   [&](std::size_t a, std::size_t b) { return distance(a) > distance(b); });
+  return found;
+}
+
+}  // namespace
+
+std::vector<double> ProportionalRates(double available, const std::vector<Claim>& claims) {
+  double total = 0;
+  for (const Claim& claim : claims) total += claim.demand;
+  std::vector<double> rates(claims.size(), 0.0);
+  if (total <= 0 || available <= 0) return rates;
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    rates[i] = available * (claims[i].demand / total);
+  }
+  return rates;
+}
+
+std::vector<double> SteadyRates(double available, const std::vector<Claim>& claims,
+                                double hysteresis) {
+  const std::vector<double> targets = ProportionalRates(available, claims);
+  std::vector<double> rates(claims.size());
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    const bool change = MustChange(claims[i].rate, targets[i], hysteresis);
+    rates[i] = change ? targets[i] : claims[i].rate;
+  }
+  double left = available - Sum(rates);
+  const bool surplus = left < 0;
+  for (const std::size_t i : Candidates(rates, targets, surplus)) {
+    if (surplus ? left >= -kRounding * available : left <= kNegligible * available) break;
+    left += rates[i] - targets[i];
+    rates[i] = targets[i];
+  }
+  return rates;
+}
+
+}  // namespace millethollow::quota
--- /dev/null
+++ b/src/quota/split.h
@@ -0,0 +1,33 @@
+// Division of one tenant's leasable rate over dispatchers by their demand. Pure functions.
+#ifndef MILLETHOLLOW_QUOTA_SPLIT_H_
+#define MILLETHOLLOW_QUOTA_SPLIT_H_
+
+#include <vector>
+
+namespace millethollow::quota {
+
+// One dispatcher's part in a division.
+struct Claim {
+  double demand = 0;
+  double rate = 0;  // that it has now
+};
+
+// Free rate below this share of what is divided is not worth a message.
+constexpr double kNegligible = 1e-3;
+
+// Sums of rates that should be equal differ by this share of them at most.
+constexpr double kRounding = 1e-9;
+
+// The rate of each claim in proportion to its demand, 0 without demand; all of `available` is
+// handed out where there is any demand.
+std::vector<double> ProportionalRates(double available, const std::vector<Claim>& claims);
+
+// The same with hysteresis: a claim keeps its rate while that is within `hysteresis` of its
+// proportional one, unless others need what it has too much, or something is left over. Those
+// furthest from their proportional rate change first.
+std::vector<double> SteadyRates(double available, const std::vector<Claim>& claims,
+                                double hysteresis);
+
+}  // namespace millethollow::quota
+
+#endif  // MILLETHOLLOW_QUOTA_SPLIT_H_
--- a/src/quota/types.h
+++ b/src/quota/types.h
@@ -33,6 +33,12 @@
 constexpr std::size_t kMostTenants = 4096;
 // Rates over this, in jobs per second, are taken for damage.
 constexpr double kMostRate = 1e9;
+// Spans over this, in seconds, are taken for damage.
+constexpr double kMostSpan = 3600;
+
+// False also for what is not a number.
+constexpr bool IsRate(double rate) { return rate >= 0 && rate <= kMostRate; }
+constexpr bool IsSpan(double span_s) { return span_s >= 0 && span_s <= kMostSpan; }
 
 // All spans in seconds. `drift`: two clocks' paces differ by at most this share; both count pauses.
 struct Timings {
@@ -47,6 +53,14 @@
   // Of each quota, spread evenly over all dispatchers of the cluster and never leased: what each
   // has without a lease, and what admits the first jobs of a tenant that is new to it.
   double floor_part = 0.04;
+
+  // How long a span of another node's clock may last by one's own.
+  double Widened(double other_clock_s) const { return other_clock_s * (1 + drift) / (1 - drift); }
+  // Of a quota, what each of so many dispatchers has without a lease, and what is left for leases.
+  double Floor(double quota, std::size_t dispatchers) const {
+    return dispatchers == 0 ? 0 : floor_part * quota / static_cast<double>(dispatchers);
+  }
+  double Leasable(double quota) const { return quota * (1 - floor_part); }
 };
 
 // One tenant in a report: what the dispatcher needs and what it holds of it.
@@ -64,8 +78,10 @@
 struct Report {
   std::uint64_t epoch = 0;     // no grant of an earlier epoch is taken by the dispatcher any more
   std::uint64_t sequence = 0;  // rises with each report of this life to this allocator
-  bool full = false;           // names every tenant of this allocator that has demand or a lease
-  std::vector<Usage> usages;   // what has changed since the last report, at most kMostEntries
+  // Names every tenant of this allocator that has demand or a lease. One with kMostEntries entries
+  // goes on in the reports of the next sequences, until one has fewer.
+  bool full = false;
+  std::vector<Usage> usages;  // what has changed since the last report, at most kMostEntries
   bool operator==(const Report&) const = default;
 };
 
@@ -83,8 +99,9 @@
   std::uint64_t epoch = 0;    // of the view in which the allocator has these tenants
   std::uint64_t answers = 0;  // sequence of the newest report that the allocator has had
   bool want_full = false;     // the allocator knows too little: the next report is to be full
-  double span_s = 0;
+  double span_s = 0;          // 0: prolongs nothing
   std::vector<Assignment> assignments;  // what has changed, at most kMostEntries
+  Life life = 0;  // of the dispatcher's process that sent the report; another one's refuses it
   bool operator==(const Grant&) const = default;
 };
 
@@ -94,7 +111,7 @@
 enum class Refusal : std::uint8_t {
   kNone,
   kOldEpoch,  // of an epoch before one that is known here
-  kDoubled,   // came before, or after a later one of its kind
+  kDoubled,   // came before, after a later one of its kind, or for or from a former life
   kUnknownTenant,
   kBadNumber,     // a rate or time that is not a number, negative, or out of bounds
   kTooLarge,      // more entries than kMostEntries
--- /dev/null
+++ b/tests/quota_test.cpp
@@ -0,0 +1,477 @@
+// The parts of quota leases one by one: division, a lease's life, a takeover, refusals, placement.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <string>
+
+#include "quota/allocator.h"
+#include "quota/holder.h"
+#include "quota/split.h"
+
+namespace millethollow::quota {
+namespace {
+
+constexpr TenantId kTenant = 77;
+constexpr double kQuota = 100;
+constexpr NodeId kAllocator = 1;
+
+double Sum(const std::vector<double>& rates) {
+  return std::accumulate(rates.begin(), rates.end(), 0.0);
+}
+
+AllocatorView ViewOf(std::uint64_t epoch, std::vector<AllocatorMember> allocators) {
+  return {epoch, std::move(allocators)};
+}
+
+// One allocator (node 1) and holders at nodes 1 to n, messages carried at once unless cut.
+class Cluster {
+ public:
+  explicit Cluster(std::size_t dispatchers, std::vector<TenantQuota> tenants = {{kTenant, kQuota}},
+                   const Timings& timings = {})
+      : tenants_(std::move(tenants)), timings_(timings) {
+    for (NodeId id = 1; id <= dispatchers; ++id) ids_.push_back(id);
+    for (const NodeId id : ids_) StartHolder(id, 100 + id);
+    StartAllocator(kAllocator);
+  }
+
+  void StartHolder(NodeId id, Life life) {
+    lives_[id] = life;
+    holders_[id] = std::make_unique<Holder>(id, life, ids_.size(), tenants_, timings_);
+  }
+  void StartAllocator(NodeId id) {
+    allocators_[id] = std::make_unique<Allocator>(id, ids_, tenants_, timings_, now);
+  }
+  void SetView(const AllocatorView& view) {
+    for (auto& [id, holder] : holders_) holder->SetView(now, view);
+    for (auto& [id, allocator] : allocators_) allocator->SetView(now, view);
+  }
+  void SetView(std::uint64_t epoch) { SetView(ViewOf(epoch, {{kAllocator, 101}})); }
+
+  void Run(double seconds, double step = 0.02) {
+    for (const double end = now + seconds; now < end; now += step) Step();
+  }
+  void Step() {
+    for (auto& [id, holder] : holders_) {
+      Actions actions;
+      holder->Tick(now, &actions);
+      for (const auto& [to, message] : actions.send) CarryReport(id, to, std::get<Report>(message));
+    }
+    for (auto& [id, allocator] : allocators_) {
+      Actions actions;
+      allocator->Tick(now, may_act[id], &actions);
+      for (const auto& [to, message] : actions.send) CarryGrant(id, to, std::get<Grant>(message));
+    }
+  }
+
+  double InUse(std::size_t tenant = 0) const {
+    double sum = 0;
+    for (const auto& [id, holder] : holders_) sum += holder->Rate(now, tenant);
+    return sum;
+  }
+  Holder& holder(NodeId id) { return *holders_.at(id); }
+  Allocator& allocator(NodeId id = kAllocator) { return *allocators_.at(id); }
+  Life life(NodeId id) const { return lives_.at(id); }
+
+  double now = 10;
+  std::map<NodeId, bool> cut;  // dispatchers that nothing reaches
+  std::map<NodeId, bool> lose_grants;
+  std::map<NodeId, bool> may_act = {{1, true}, {2, true}, {3, true}};
+  std::uint64_t carried = 0;
+
+ private:
+  void CarryReport(NodeId from, NodeId to, const Report& report) {
+    ++carried;
+    const auto found = allocators_.find(to);
+    if (cut[from] || found == allocators_.end()) return;
+    found->second->Hear(now, from, lives_.at(from), report);
+  }
+  void CarryGrant(NodeId from, NodeId to, const Grant& grant) {
+    ++carried;
+    if (!cut[to] && !lose_grants[to]) holders_.at(to)->Hear(now, from, grant);
+  }
+
+  std::vector<TenantQuota> tenants_;
+  Timings timings_;
+  std::vector<NodeId> ids_;
+  std::map<NodeId, Life> lives_;
+  std::map<NodeId, std::unique_ptr<Holder>> holders_;
+  std::map<NodeId, std::unique_ptr<Allocator>> allocators_;
+};
+
+// ---- division ----
+
+TEST(QuotaSplit, IsProportionalToDemandAndHandsOutAll) {
+  const std::vector<double> rates = ProportionalRates(90, {{10, 0}, {20, 0}, {0, 0}});
+  EXPECT_DOUBLE_EQ(rates[0], 30);
+  EXPECT_DOUBLE_EQ(rates[1], 60);
+  EXPECT_DOUBLE_EQ(rates[2], 0);
+  EXPECT_EQ(Sum(ProportionalRates(90, {{0, 5}, {0, 0}})), 0);
+}
+
+TEST(QuotaSplit, KeepsRatesWithinHysteresis) {
+  const std::vector<double> rates = SteadyRates(100, {{52, 50}, {48, 50}}, 0.1);
+  EXPECT_DOUBLE_EQ(rates[0], 50);
+  EXPECT_DOUBLE_EQ(rates[1], 50);
+}
+
+TEST(QuotaSplit, TakesFromOthersOnlyWhatOneNeeds) {
+  std::vector<Claim> claims(20, {5, 5});
+  claims[0].demand = 10;
+  const std::vector<double> rates = SteadyRates(100, claims, 0.1);
+  EXPECT_NEAR(rates[0], 100 * 10.0 / 105, 1e-9);
+  EXPECT_LE(Sum(rates), 100 + 1e-6);
+  EXPECT_GE(Sum(rates), 100 - 0.3) << "no more is taken than is needed";
+}
+
+TEST(QuotaSplit, WhatOneLeavesGoesToTheOthersThoughEachRaiseIsSmall) {
+  std::vector<Claim> claims(21, {5, 100.0 / 21});
+  claims[0].demand = 0;
+  const std::vector<double> rates = SteadyRates(100, claims, 0.1);
+  EXPECT_EQ(rates[0], 0);
+  EXPECT_GE(Sum(rates), 99.9 - 1e-9);
+}
+
+// ---- one lease's life ----
+
+TEST(QuotaLease, IsGrantedByDemandRenewedAndOverWithoutRenewal) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  EXPECT_DOUBLE_EQ(cluster.holder(1).Rate(cluster.now, 0), 2) << "the floor alone";
+  cluster.holder(1).SetDemand(cluster.now, 0, 30);
+  cluster.holder(2).SetDemand(cluster.now, 0, 10);
+  cluster.Run(1);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 72, 0.2);
+  EXPECT_NEAR(cluster.holder(2).Lease(cluster.now, 0), 24, 0.2);
+  EXPECT_LE(cluster.InUse(), kQuota + 1e-9);
+  cluster.Run(10);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 72, 0.2) << "renewed";
+
+  cluster.cut[1] = true;
+  cluster.Run(2);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 72, 0.2) << "until the lease is over";
+  cluster.Run(1.1);
+  EXPECT_EQ(cluster.holder(1).Lease(cluster.now, 0), 0);
+  EXPECT_DOUBLE_EQ(cluster.holder(1).Rate(cluster.now, 0), 2);
+  EXPECT_EQ(cluster.holder(1).counters().expiries, 1u);
+  cluster.Run(0.5);
+  EXPECT_NEAR(cluster.holder(2).Lease(cluster.now, 0), 96, 0.2) << "the other one has it now";
+
+  cluster.cut[1] = false;
+  cluster.Run(2);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 72, 0.5);
+}
+
+TEST(QuotaLease, WhatASilentHolderMayUseStaysReserved) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  cluster.holder(1).SetDemand(cluster.now, 0, 10);
+  cluster.Run(1);
+  cluster.lose_grants[1] = true;
+  cluster.holder(1).SetDemand(cluster.now, 0, 1);
+  cluster.holder(2).SetDemand(cluster.now, 0, 100);
+  for (int i = 0; i < 300; ++i) {
+    cluster.Run(0.02);
+    ASSERT_LE(cluster.InUse(), kQuota + 1e-9) << cluster.now;
+    ASSERT_GE(cluster.allocator().Reserved(cluster.now, kTenant) + 4 + 1e-9, cluster.InUse());
+  }
+  EXPECT_GT(cluster.holder(2).Lease(cluster.now, 0), 0);
+}
+
+TEST(QuotaLease, ALostRaiseIsOfferedAgain) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  cluster.Run(1);
+  cluster.holder(1).SetDemand(cluster.now, 0, 10);
+  cluster.lose_grants[1] = true;
+  cluster.Run(0.5);
+  EXPECT_EQ(cluster.holder(1).Lease(cluster.now, 0), 0);
+  cluster.lose_grants[1] = false;
+  cluster.Run(1);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 96, 0.2);
+}
+
+TEST(QuotaLease, SteadyDemandChangesNothing) {
+  Cluster cluster(5);
+  cluster.SetView(1);
+  for (NodeId id = 1; id <= 5; ++id) cluster.holder(id).SetDemand(cluster.now, 0, 10);
+  cluster.Run(2);
+  const double before = cluster.holder(3).Lease(cluster.now, 0);
+  const std::uint64_t carried = cluster.carried;
+  for (int i = 0; i < 100; ++i) {
+    for (NodeId id = 1; id <= 5; ++id) {
+      cluster.holder(id).SetDemand(cluster.now, 0, 10 + 0.3 * ((i + static_cast<int>(id)) % 3 - 1));
+    }
+    cluster.Run(0.1);
+    ASSERT_EQ(cluster.holder(3).Lease(cluster.now, 0), before);
+  }
+  EXPECT_LE(cluster.carried - carried, 10 / 0.8 * 5 * 2 + 20) << "renewals and their answers";
+}
+
+TEST(QuotaLease, ALowerQuotaIsPushed) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  cluster.holder(1).SetDemand(cluster.now, 0, 10);
+  cluster.Run(1);
+  for (NodeId id = 1; id <= 2; ++id) cluster.holder(id).SetQuotas(cluster.now, {{kTenant, 50}});
+  cluster.allocator().SetQuotas(cluster.now, {{kTenant, 50}});
+  EXPECT_LE(cluster.holder(1).Rate(cluster.now, 0), 50) << "never more than the quota";
+  cluster.Run(0.5);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 48, 0.1);
+}
+
+TEST(QuotaLease, MoreTenantsThanAFrameHolds) {
+  std::vector<TenantQuota> tenants;
+  for (TenantId id = 1; id <= 2 * kMostEntries; ++id) tenants.push_back({id, kQuota});
+  Cluster cluster(2, tenants);
+  cluster.SetView(1);
+  for (std::size_t i = 0; i < tenants.size(); ++i) cluster.holder(1).SetDemand(cluster.now, i, 5);
+  cluster.Run(1);
+  for (std::size_t i = 0; i < tenants.size(); ++i) {
+    ASSERT_NEAR(cluster.holder(1).Lease(cluster.now, i), 96, 0.2) << i;
+  }
+  EXPECT_FALSE(cluster.allocator().TakingOver(cluster.now, 1));
+}
+
+TEST(QuotaLease, ADispatchersFormerLifeStaysReserved) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  cluster.holder(1).SetDemand(cluster.now, 0, 10);
+  cluster.Run(1);
+  cluster.StartHolder(1, 555);
+  cluster.SetView(2);
+  cluster.holder(1).SetDemand(cluster.now, 0, 10);
+  cluster.Run(1);
+  EXPECT_EQ(cluster.holder(1).Lease(cluster.now, 0), 0);
+  EXPECT_NEAR(cluster.allocator().Reserved(cluster.now, kTenant), 96, 0.1);
+  cluster.Run(2.5);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 96, 0.1);
+}
+
+// ---- takeover ----
+
+class QuotaTakeover : public ::testing::Test {
+ protected:
+  QuotaTakeover() {
+    cluster.StartAllocator(2);
+    cluster.SetView(ViewOf(1, {{1, 101}}));
+    for (NodeId id = 1; id <= 3; ++id) cluster.holder(id).SetDemand(cluster.now, 0, 10);
+    cluster.Run(2);
+  }
+  // Node 1 allocates no more and is not heard; its holder goes on.
+  void LoseAllocator() {
+    cluster.may_act[1] = false;
+    cluster.SetView(ViewOf(2, {{2, 102}}));
+  }
+  Cluster cluster{3};
+};
+
+TEST_F(QuotaTakeover, EndsOnceEveryDispatcherHasReported) {
+  LoseAllocator();
+  EXPECT_TRUE(cluster.allocator(2).TakingOver(cluster.now, kTenant));
+  EXPECT_DOUBLE_EQ(cluster.allocator(2).Reserved(cluster.now, kTenant), 96);
+  cluster.Run(0.3);
+  EXPECT_FALSE(cluster.allocator(2).TakingOver(cluster.now, kTenant));
+  cluster.holder(1).SetDemand(cluster.now, 0, 100);
+  cluster.Run(1);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 80, 0.2);
+  EXPECT_LE(cluster.InUse(), kQuota + 1e-9);
+}
+
+TEST_F(QuotaTakeover, GrantsNothingNewWhileOneIsSilent) {
+  cluster.cut[3] = true;
+  LoseAllocator();
+  cluster.holder(1).SetDemand(cluster.now, 0, 1000);
+  const Timings timings;
+  const double over = cluster.now + timings.Widened(timings.act_s + timings.span_s);
+  while (cluster.now < over - 0.05) {
+    cluster.Run(0.02);
+    ASSERT_TRUE(cluster.allocator(2).TakingOver(cluster.now, kTenant));
+    ASSERT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 32, 0.1) << "renewed, no more";
+  }
+  cluster.Run(1);
+  EXPECT_FALSE(cluster.allocator(2).TakingOver(cluster.now, kTenant));
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 96 * 1000.0 / 1010, 0.5);
+}
+
+TEST_F(QuotaTakeover, BeginsAnewWhereAViewWasMissed) {
+  cluster.SetView(ViewOf(3, {{1, 101}}));
+  EXPECT_TRUE(cluster.allocator(1).TakingOver(cluster.now, kTenant));
+  cluster.Run(0.3);
+  EXPECT_FALSE(cluster.allocator(1).TakingOver(cluster.now, kTenant));
+  cluster.SetView(ViewOf(4, {{1, 101}}));
+  EXPECT_FALSE(cluster.allocator(1).TakingOver(cluster.now, kTenant)) << "kept";
+  cluster.SetView(ViewOf(5, {{1, 999}}));
+  EXPECT_TRUE(cluster.allocator(1).TakingOver(cluster.now, kTenant)) << "another process of it";
+}
+
+TEST_F(QuotaTakeover, TheOldAllocatorIsNotHeardAnyMore) {
+  const double lease = cluster.holder(2).Lease(cluster.now, 0);
+  cluster.holder(2).SetView(cluster.now, ViewOf(2, {{2, 102}}));
+  Grant late{.epoch = 1, .answers = 2, .span_s = 3, .assignments = {{kTenant, 90, 1000}}};
+  late.life = cluster.life(2);
+  EXPECT_EQ(cluster.holder(2).Hear(cluster.now, 1, late), Refusal::kOldEpoch);
+  EXPECT_EQ(cluster.holder(2).Lease(cluster.now, 0), lease);
+}
+
+TEST(QuotaAllocator, GrantsOnlyWhileItMayAct) {
+  Cluster cluster(2);
+  cluster.may_act[1] = false;
+  cluster.SetView(1);
+  cluster.holder(1).SetDemand(cluster.now, 0, 10);
+  cluster.Run(2);
+  EXPECT_EQ(cluster.allocator().counters().grants, 0u);
+  EXPECT_GT(cluster.allocator().NextAt(), cluster.now - 0.1);
+  cluster.may_act[1] = true;
+  cluster.Run(0.5);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 96, 0.1);
+}
+
+// ---- refusals ----
+
+class QuotaRefusals : public ::testing::Test {
+ protected:
+  QuotaRefusals() {
+    cluster.SetView(5);
+    cluster.holder(1).SetDemand(cluster.now, 0, 10);
+    cluster.Run(1);
+    good_report.epoch = 5;
+    good_report.sequence = 1000;
+    good_report.usages = {{kTenant, 10, 0, 0, 0}};
+    good_grant.epoch = 5;
+    good_grant.answers = 2;
+    good_grant.span_s = 3;
+    good_grant.life = cluster.life(1);
+    good_grant.assignments = {{kTenant, 50, 1000}};
+  }
+  void ExpectRefused(const Report& report, Refusal cause, NodeId from = 1) {
+    const auto counted = [&] {
+      return cluster.allocator().counters().refused[static_cast<std::size_t>(cause)];
+    };
+    const std::uint64_t before = counted();
+    const double reserved = cluster.allocator().Reserved(cluster.now, kTenant);
+    EXPECT_EQ(cluster.allocator().Hear(cluster.now, from, cluster.life(1), report), cause);
+    EXPECT_EQ(counted(), before + 1);
+    EXPECT_EQ(cluster.allocator().Reserved(cluster.now, kTenant), reserved);
+  }
+  void ExpectRefused(const Grant& grant, Refusal cause, NodeId from = kAllocator) {
+    const auto counted = [&] {
+      return cluster.holder(1).counters().refused[static_cast<std::size_t>(cause)];
+    };
+    const std::uint64_t before = counted();
+    const double lease = cluster.holder(1).Lease(cluster.now, 0);
+    EXPECT_EQ(cluster.holder(1).Hear(cluster.now, from, grant), cause);
+    EXPECT_EQ(counted(), before + 1);
+    EXPECT_EQ(cluster.holder(1).Lease(cluster.now, 0), lease);
+  }
+  Cluster cluster{2};
+  Report good_report;
+  Grant good_grant;
+};
+
+TEST_F(QuotaRefusals, OfReports) {
+  Report report = good_report;
+  report.epoch = 4;
+  ExpectRefused(report, Refusal::kOldEpoch);
+  report.epoch = 6;
+  ExpectRefused(report, Refusal::kNotAllocator);
+  report = good_report;
+  report.sequence = 1;
+  ExpectRefused(report, Refusal::kDoubled);
+  ExpectRefused(good_report, Refusal::kNotAllocator, 99);
+  report = good_report;
+  report.usages.push_back({78, 1, 0, 0, 0});
+  ExpectRefused(report, Refusal::kUnknownTenant);
+  report = good_report;
+  report.usages.assign(kMostEntries + 1, {kTenant, 1, 0, 0, 0});
+  ExpectRefused(report, Refusal::kTooLarge);
+  for (const double bad : {-1.0, std::nan(""), std::numeric_limits<double>::infinity(), 2e9}) {
+    report = good_report;
+    report.usages[0].demand = bad;
+    ExpectRefused(report, Refusal::kBadNumber);
+    report = good_report;
+    report.usages[0].held = bad;
+    ExpectRefused(report, Refusal::kBadNumber);
+    report = good_report;
+    report.usages[0].left_s = bad;
+    ExpectRefused(report, Refusal::kBadNumber);
+  }
+  EXPECT_EQ(cluster.allocator().Hear(cluster.now, 1, cluster.life(1), good_report), Refusal::kNone);
+}
+
+TEST_F(QuotaRefusals, OfReportsOfAFormerLife) {
+  Report first = good_report;
+  first.sequence = 1;
+  EXPECT_EQ(cluster.allocator().Hear(cluster.now, 1, 555, first), Refusal::kNone);
+  ExpectRefused(good_report, Refusal::kDoubled);
+}
+
+TEST_F(QuotaRefusals, OfGrants) {
+  Grant grant = good_grant;
+  grant.epoch = 4;
+  ExpectRefused(grant, Refusal::kOldEpoch);
+  grant.epoch = 6;
+  ExpectRefused(grant, Refusal::kNotAllocator);
+  ExpectRefused(good_grant, Refusal::kNotAllocator, 2);
+  grant = good_grant;
+  grant.life = 555;
+  ExpectRefused(grant, Refusal::kDoubled);
+  grant = good_grant;
+  grant.answers = 1;
+  ExpectRefused(grant, Refusal::kDoubled);
+  grant.answers = 1000;
+  ExpectRefused(grant, Refusal::kBadNumber);
+  grant = good_grant;
+  grant.assignments.push_back({78, 1, 1001});
+  ExpectRefused(grant, Refusal::kUnknownTenant);
+  grant = good_grant;
+  grant.assignments.assign(kMostEntries + 1, {kTenant, 1, 1000});
+  ExpectRefused(grant, Refusal::kTooLarge);
+  for (const double bad : {-1.0, std::nan(""), std::numeric_limits<double>::infinity(), 2e9}) {
+    grant = good_grant;
+    grant.assignments[0].rate = bad;
+    ExpectRefused(grant, Refusal::kBadNumber);
+    grant = good_grant;
+    grant.span_s = bad;
+    ExpectRefused(grant, Refusal::kBadNumber);
+  }
+}
+
+TEST_F(QuotaRefusals, OfADoubledGrant) {
+  Holder& holder = cluster.holder(2);
+  holder.SetDemand(cluster.now, 0, 10);
+  Actions reports;
+  holder.Tick(cluster.now, &reports);
+  ASSERT_EQ(reports.send.size(), 1u);
+  Grant grant = good_grant;
+  grant.life = cluster.life(2);
+  grant.answers = std::get<Report>(reports.send[0].second).sequence;
+  EXPECT_EQ(holder.Hear(cluster.now, kAllocator, grant), Refusal::kNone);
+  EXPECT_EQ(holder.Hear(cluster.now, kAllocator, grant), Refusal::kDoubled);
+  grant.assignments[0] = {kTenant, 20, 999};
+  EXPECT_EQ(holder.Hear(cluster.now, kAllocator, grant), Refusal::kDoubled) << "an earlier rate";
+  EXPECT_EQ(holder.Lease(cluster.now, 0), 50);
+}
+
+// ---- placement ----
+
+TEST(QuotaPlacement, ALostMemberMovesItsTenantsAlone) {
+  const AllocatorView whole = ViewOf(1, {{11, 1}, {22, 1}, {33, 1}, {44, 1}});
+  const AllocatorView less = ViewOf(2, {{11, 1}, {33, 1}, {44, 1}});
+  std::map<NodeId, int> tenants;
+  for (TenantId tenant = 1; tenant <= 4000; ++tenant) {
+    const NodeId before = whole.Of(membership::Mix(tenant))->id;
+    ++tenants[before];
+    if (before != 22) {
+      ASSERT_EQ(less.Of(membership::Mix(tenant))->id, before);
+    }
+  }
+  for (const auto& [id, count] : tenants) EXPECT_NEAR(count, 1000, 120) << id;
+  EXPECT_EQ(ViewOf(1, {}).Of(1), nullptr);
+}
+
+}  // namespace
+}  // namespace millethollow::quota
