Quota leases: what an earlier allocator granted is granted anew, not prolonged

An allocator that was replaced may act on for act_s, takes a dispatcher that knows the later view for silent, and grants its rate to others. Change: a holder prolongs only leases of its present allocator; a takeover grants nothing, and after it carried rates are granted anew. The part test that asked for the renewal asks for its absence.

--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -31,17 +31,18 @@
 void Holder::SetView(double now, const AllocatorView& view) {
   if (view.epoch <= view_.epoch) return;
   ExpireLeases(now);
+  const bool next = view.epoch == view_.epoch + 1;
   view_ = view;
-  MoveTenants();
+  MoveTenants(!next);
   RenewLinks(now);
 }
 
-// Grants are numbered by each process of an allocator anew.
-void Holder::MoveTenants() {
+// `views_missed`: others may have allocated any tenant in between.
+void Holder::MoveTenants(bool views_missed) {
   for (Tenant& tenant : tenants_) {
     const AllocatorMember* allocator = view_.Of(tenant.id);
     const AllocatorMember next = allocator == nullptr ? AllocatorMember{} : *allocator;
-    if (next == tenant.allocator) continue;
+    if (next == tenant.allocator && !views_missed) continue;
     tenant.allocator = next;
     tenant.grant = 0;
     tenant.changed = true;
@@ -173,10 +174,12 @@
   });
 }
 
+// A lease of an earlier allocator is not prolonged: that one may still act, takes this dispatcher
+// for silent, and grants the rate to others once the lease should be over.
 void Holder::Prolong(Link& link, double until) {
   for (const std::size_t i : link.tenants) {
     Tenant& tenant = tenants_[i];
-    if (tenant.rate > 0) tenant.until = std::max(tenant.until, until);
+    if (tenant.rate > 0 && tenant.grant != 0) tenant.until = std::max(tenant.until, until);
   }
 }
 
--- a/src/quota/holder.h
+++ b/src/quota/holder.h
@@ -56,9 +56,10 @@
     TenantId id = 0;
     double quota = 0, demand = 0, told_demand = 0;
     double rate = 0, until = 0;  // of the lease
-    std::uint64_t grant = 0;     // applied last, of this allocator
-    AllocatorMember allocator;   // in the view that is known; id 0: none
-    bool changed = false;        // beside its demand: to be told with the next report
+    // Applied last, of this allocator; 0: the lease is of an earlier one.
+    std::uint64_t grant = 0;
+    AllocatorMember allocator;  // in the view that is known; id 0: none
+    bool changed = false;       // beside its demand: to be told with the next report
   };
   static constexpr double kNever = std::numeric_limits<double>::infinity();
   struct Link {  // to one allocator
@@ -75,7 +76,7 @@
   };
 
   void ExpireLeases(double now);
-  void MoveTenants();
+  void MoveTenants(bool views_missed);
   void RenewLinks(double now);
   void MakeDue(double now, NodeId allocator);
   void WantFull(double now, NodeId allocator, Link& link);
--- a/src/quota/leases.cpp
+++ b/src/quota/leases.cpp
@@ -14,6 +14,7 @@
 
 void Share::Tell(const Usage& usage, bool trusted) {
   demand = usage.demand;
+  carried = usage.held > 0 && usage.grant == 0;
   const bool applied = offered() && usage.grant >= offer_grant;
   const double most = applied ? offer : confirmed;
   confirmed = trusted ? usage.held : std::min(usage.held, most);
@@ -26,6 +27,7 @@
 void Share::TellNothing() {
   demand = 0;
   confirmed = 0;
+  carried = false;
 }
 
 void Share::Lapse() {
@@ -58,27 +60,25 @@
   }
   const std::vector<double> rates = SteadyRates(std::max(0.0, available), claims, hysteresis);
   for (std::size_t i = 0; i < wishes.size(); ++i) wishes[i].to = rates[i];
-  std::erase_if(wishes, [](const Wish& wish) { return wish.from == wish.to; });
   return wishes;
 }
 
 std::vector<RateChange> TenantLeases::Granted(const std::vector<Wish>& wishes) const {
-  const double in_force = InForce();
-  const bool raises = !taking_over && in_force < leasable;
-  const bool lowers = !taking_over || in_force > leasable;
-  std::vector<RateChange> changes;
   double wanted = 0;
+  for (const Wish& wish : wishes) wanted += std::max(0.0, wish.to - wish.from);
+  const double free = std::max(0.0, leasable - InForce());
+  const double part = wanted > free ? free / wanted : 1;
+  std::vector<RateChange> changes;
   for (const Wish& wish : wishes) {
-    if (wish.to > wish.from) wanted += wish.to - wish.from;
-    if (wish.to < wish.from && lowers) changes.push_back({wish.dispatcher, wish.to});
-  }
-  if (!raises || wanted <= 0) return changes;
-  const double free = leasable - in_force;
-  const double part = std::min(1.0, free / wanted);
-  for (const Wish& wish : wishes) {
-    const double raise = part * (wish.to - wish.from);
-    const bool worth_it = part >= 1 - kRounding || raise >= kLeastPartOfRate * wish.to;
-    if (raise > 0 && worth_it) changes.push_back({wish.dispatcher, wish.from + raise});
+    double rate = wish.to;
+    if (wish.to > wish.from) {
+      const double raise = part * (wish.to - wish.from);
+      const bool worth_it = part >= 1 - kRounding || raise >= kLeastPartOfRate * wish.to;
+      rate = worth_it ? wish.from + raise : wish.from;
+    }
+    if (rate != wish.from || shares.at(wish.dispatcher).carried) {
+      changes.push_back({wish.dispatcher, rate});
+    }
   }
   return changes;
 }
--- a/src/quota/leases.h
+++ b/src/quota/leases.h
@@ -18,6 +18,7 @@
   double confirmed = 0;           // the rate that it has told
   double offer = 0;               // another rate, granted but not told yet
   std::uint64_t offer_grant = 0;  // the number of that grant, 0: there is none
+  bool carried = false;           // what is confirmed was granted by an earlier allocator
   double former = 0;              // what former lives of the dispatcher may still use
 
   bool offered() const { return offer_grant != 0; }
@@ -56,8 +57,9 @@
   double divided_at = -std::numeric_limits<double>::infinity();
 
   double InForce() const;
-  // The changes that bring rates nearer to the division by demand, lowered ones first. Raises are
-  // taken from what is free, and there are none during a takeover. `open`: who can be granted to.
+  // The changes that bring rates nearer to the division by demand, none during a takeover. Raises
+  // are taken from what is free; what an earlier allocator granted is granted anew. `open`: who can
+  // be granted to.
   template <typename Open>
   std::vector<RateChange> Divide(double hysteresis, const Open& open) const;
 
@@ -72,6 +74,7 @@
 
 template <typename Open>
 std::vector<RateChange> TenantLeases::Divide(double hysteresis, const Open& open) const {
+  if (taking_over) return {};
   std::vector<Wish> possible;
   for (const Wish& wish : Wishes(hysteresis)) {
     if (!shares.at(wish.dispatcher).offered() && open(wish.dispatcher)) possible.push_back(wish);
--- a/src/quota/types.h
+++ b/src/quota/types.h
@@ -66,10 +66,12 @@
 // One tenant in a report: what the dispatcher needs and what it holds of it.
 struct Usage {
   TenantId tenant = 0;
-  double demand = 0;        // jobs per second that came in, admitted or not
-  double held = 0;          // the rate of the lease in force, 0: none
-  double left_s = 0;        // until that lease is over, by the dispatcher's clock
-  std::uint64_t grant = 0;  // the number of the grant that it applied last, 0: none
+  double demand = 0;  // jobs per second that came in, admitted or not
+  double held = 0;    // the rate of the lease in force, 0: none
+  double left_s = 0;  // until that lease is over, by the dispatcher's clock
+  // The number of the grant that it applied last; 0: none of this allocator since the tenant came
+  // to it, so that what is held is a lease of an earlier one, which is not prolonged.
+  std::uint64_t grant = 0;
   bool operator==(const Usage&) const = default;
 };
 
@@ -93,7 +95,7 @@
   bool operator==(const Assignment&) const = default;
 };
 
-// From an allocator to a dispatcher. Every lease of this allocator lasts, from now on, until span_s
+// From an allocator to a dispatcher. Every lease that it granted lasts, from now on, until span_s
 // after the report of that sequence was sent.
 struct Grant {
   std::uint64_t epoch = 0;    // of the view in which the allocator has these tenants
