Quota leases: full reports go out one frame after the other; lowered quotas lower offers

Change: at most one report to an allocator in report_gap_s; a lowered quota replaces open offers, and the highest of them stays reserved until the newest is told.

--- a/src/quota/allocator.cpp
+++ b/src/quota/allocator.cpp
@@ -90,11 +90,20 @@
     quota->second = ValidRate(given.quota);
     const auto found = tenants_.find(given.tenant);
     if (found == tenants_.end()) continue;
+    LowerOffers(given.tenant, found->second, timings_.Leasable(quota->second));
     found->second.leasable = timings_.Leasable(quota->second);
     changed_.insert(given.tenant);
   }
 }
 
+// What was offered of a higher quota is not to be told again.
+void Allocator::LowerOffers(TenantId id, TenantLeases& tenant, double leasable) {
+  if (leasable >= tenant.leasable) return;
+  for (auto& [dispatcher, share] : tenant.shares) {
+    if (share.offered()) Offer(id, dispatcher, share, share.offer * leasable / tenant.leasable);
+  }
+}
+
 // ---- reports ----
 
 Refusal Allocator::Hear(double now, NodeId from, Life life, const Report& report) {
@@ -254,14 +263,16 @@
     return dispatchers_.at(dispatcher).current && !dispatchers_.at(dispatcher).lapsed;
   };
   for (const RateChange& change : tenant.Divide(timings_.hysteresis, open)) {
-    Share& share = tenant.shares.at(change.dispatcher);
-    share.offer = change.rate;
-    share.offer_grant = ++last_grant_;
-    dispatchers_.at(change.dispatcher).offers.insert(id);
-    to_send_.insert(change.dispatcher);
+    Offer(id, change.dispatcher, tenant.shares.at(change.dispatcher), change.rate);
   }
 }
 
+void Allocator::Offer(TenantId id, NodeId dispatcher, Share& share, double rate) {
+  share.Offer(rate, ++last_grant_);
+  dispatchers_.at(dispatcher).offers.insert(id);
+  to_send_.insert(dispatcher);
+}
+
 void Allocator::SendGrants(Actions* actions) {
   for (const NodeId id : to_send_) SendGrant(id, dispatchers_.at(id), actions);
   to_send_.clear();
--- a/src/quota/allocator.h
+++ b/src/quota/allocator.h
@@ -70,12 +70,15 @@
   void EndTakeovers(double now);
   void Drop(TenantId tenant);
 
+  void LowerOffers(TenantId id, TenantLeases& tenant, double leasable);
+
   void EndLeases(double now);
   void EndLeasesOf(double now, NodeId id, Dispatcher& dispatcher);
   void ScheduleEnd(NodeId id, Dispatcher& dispatcher);
 
   void DivideChanged(double now);
   void Divide(double now, TenantId id, TenantLeases& tenant);
+  void Offer(TenantId id, NodeId dispatcher, Share& share, double rate);
   void SendGrants(Actions* actions);
   void SendGrant(NodeId id, Dispatcher& dispatcher, Actions* actions);
 
--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -71,7 +71,9 @@
 
 void Holder::WantFull(double now, NodeId allocator, Link& link) {
   link.full = true;
-  link.full_from = 0;
+  link.full_begin = 0;
+  link.full_end = 0;
+  link.told = 0;
   link.retry_s = kRetryGaps * timings_.report_gap_s;
   MakeDue(now, allocator);
 }
@@ -130,7 +132,7 @@
     Apply(tenants_[index_.at(assignment.tenant)], assignment, now, until);
   }
   // One that answers an earlier report than the full one under way has nothing new to ask.
-  const bool under_way = link.full && link.full_from > grant.answers;
+  const bool under_way = link.full && link.full_begin > grant.answers;
   if (grant.want_full && !under_way) WantFull(now, from, link);
   return Refusal::kNone;
 }
@@ -138,7 +140,7 @@
 void Holder::TakeAnswer(Link& link, std::uint64_t answers) {
   link.heard_answer = answers;
   while (link.sent.front().first < answers) link.sent.pop_front();
-  if (link.full_from != 0 && answers >= link.full_from) link.full = false;
+  if (link.full_end != 0 && answers >= link.full_end) link.full = false;
 }
 
 Refusal Holder::Check(NodeId from, const Grant& grant) const {
@@ -198,52 +200,55 @@
 void Holder::Tick(double now, Actions* actions) {
   ExpireLeases(now);
   for (auto& [id, link] : links_) {
-    if (link.active && now >= NextDue(link)) SendReports(now, id, link, actions);
+    if (link.active && now >= NextDue(link)) SendReport(now, id, link, actions);
   }
 }
 
-// What is to be told; it counts as told from here on.
+bool Holder::IsToTell(const Link& link, const Tenant& tenant) const {
+  if (tenant.changed || tenant.demand != tenant.told_demand) return true;
+  const bool in_use = tenant.demand > 0 || tenant.rate > 0;
+  return in_use && (link.full || link.told > 0);
+}
+
+// What is to be told, as much as one report holds; it counts as told from here on.
 std::vector<Usage> Holder::TakeUsages(double now, Link& link) {
   std::vector<Usage> usages;
-  for (const std::size_t i : link.tenants) {
-    Tenant& tenant = tenants_[i];
-    const bool in_use = tenant.demand > 0 || tenant.rate > 0;
-    const bool news = tenant.changed || tenant.demand != tenant.told_demand;
-    if (!news && !(link.full && in_use)) continue;
+  std::size_t next = link.told;
+  for (; next < link.tenants.size() && usages.size() < kMostEntries; ++next) {
+    Tenant& tenant = tenants_[link.tenants[next]];
+    if (!IsToTell(link, tenant)) continue;
     tenant.changed = false;
     tenant.told_demand = tenant.demand;
     const double left_s = tenant.rate > 0 ? tenant.until - now : 0;
     usages.push_back({tenant.id, tenant.demand, tenant.rate, left_s, tenant.grant});
   }
+  const bool is_full = link.full || link.told > 0;
+  link.told = is_full && usages.size() == kMostEntries ? next : 0;
   return usages;
 }
 
-void Holder::SendReports(double now, NodeId allocator, Link& link, Actions* actions) {
-  const bool full = link.full;
-  const std::vector<Usage> usages = TakeUsages(now, link);
-  std::size_t next = 0;
-  bool more = true;
-  while (more) {
-    const std::size_t end = std::min(usages.size(), next + kMostEntries);
-    Report report;
-    report.epoch = view_.epoch;
-    report.sequence = ++link.sequence;
-    report.full = full && next == 0;
-    report.usages.assign(usages.begin() + static_cast<std::ptrdiff_t>(next),
-                         usages.begin() + static_cast<std::ptrdiff_t>(end));
-    // A full one ends with a report that is not filled; others just end.
-    more = full ? report.usages.size() == kMostEntries : end < usages.size();
-    next = end;
-    link.sent.emplace_back(link.sequence, now);
-    actions->send.emplace_back(allocator, std::move(report));
-    ++counters_.reports;
-  }
-  while (link.sent.size() > kMostSent) link.sent.pop_front();
+// A full report that was begun is ended, also if all was told in another one meanwhile.
+void Holder::SendReport(double now, NodeId allocator, Link& link, Actions* actions) {
+  const bool is_full = link.full || link.told > 0;
+  Report report;
+  report.epoch = view_.epoch;
+  report.sequence = ++link.sequence;
+  report.full = is_full && link.told == 0;
+  report.usages = TakeUsages(now, link);
+  const bool more = report.usages.size() == kMostEntries;
+  if (report.full && link.full_begin == 0) link.full_begin = report.sequence;
+  if (is_full && !more) EndFullReport(link);
+  link.sent.emplace_back(report.sequence, now);
+  if (link.sent.size() > kMostSent) link.sent.pop_front();
   link.reported_at = now;
-  link.due_at = kNever;
-  if (!full) return;
-  if (link.full_from != 0) link.retry_s = std::min(2 * link.retry_s, timings_.renew_s);
-  if (link.full_from == 0) link.full_from = link.sequence;
+  link.due_at = more ? now + timings_.report_gap_s : kNever;
+  actions->send.emplace_back(allocator, std::move(report));
+  ++counters_.reports;
+}
+
+void Holder::EndFullReport(Link& link) {
+  if (link.full_end != 0) link.retry_s = std::min(2 * link.retry_s, timings_.renew_s);
+  if (link.full_end == 0) link.full_end = link.sequence;
 }
 
 // While it has demand or a lease there, or is not known to be heard.
@@ -256,7 +261,7 @@
 
 double Holder::NextDue(const Link& link) const {
   const double renewal = NeedsRenewal(link) ? link.reported_at + timings_.renew_s : kNever;
-  const bool unanswered = link.full && link.full_from != 0;
+  const bool unanswered = link.full && link.full_end != 0 && link.told == 0;
   const double retry = unanswered ? link.reported_at + link.retry_s : kNever;
   return std::min({link.due_at, renewal, retry});
 }
--- a/src/quota/holder.h
+++ b/src/quota/holder.h
@@ -66,12 +66,13 @@
     Life life = 0;
     std::uint64_t sequence = 0, heard_answer = 0;
     double reported_at = 0;
-    double due_at = kNever;       // the next report, if it is due for news
-    bool active = false;          // allocates in the view that is known
-    bool full = false;            // every report is full until one such is answered
-    std::uint64_t full_from = 0;  // the last sequence of the first such report; 0: none sent yet
-    double retry_s = 0;           // from a full report to the next, while none is answered
-    std::vector<std::size_t> tenants;                   // that it allocates, by index
+    double due_at = kNever;  // the next report, if it is due for news
+    bool active = false;     // allocates in the view that is known
+    bool full = false;       // all is to be told, until a report that ends it is answered
+    std::uint64_t full_begin = 0, full_end = 0;  // sequences of the first full report; 0: not yet
+    std::size_t told = 0;                        // tenants passed by the full report under way
+    double retry_s = 0;                          // from a full report to the next, unanswered
+    std::vector<std::size_t> tenants;            // that it allocates, by index
     std::deque<std::pair<std::uint64_t, double>> sent;  // sequence, and when; bounded
   };
 
@@ -87,7 +88,9 @@
   void Prolong(Link& link, double until);
   void Apply(Tenant& tenant, const Assignment& assignment, double now, double until);
   std::vector<Usage> TakeUsages(double now, Link& link);
-  void SendReports(double now, NodeId allocator, Link& link, Actions* actions);
+  bool IsToTell(const Link& link, const Tenant& tenant) const;
+  void SendReport(double now, NodeId allocator, Link& link, Actions* actions);
+  void EndFullReport(Link& link);
   double NextDue(const Link& link) const;
   bool NeedsRenewal(const Link& link) const;
 
--- a/src/quota/leases.cpp
+++ b/src/quota/leases.cpp
@@ -15,12 +15,17 @@
 void Share::Tell(const Usage& usage, bool trusted) {
   demand = usage.demand;
   carried = usage.held > 0 && usage.grant == 0;
-  const bool applied = offered() && usage.grant >= offer_grant;
-  const double most = applied ? offer : confirmed;
-  confirmed = trusted ? usage.held : std::min(usage.held, most);
-  if (!applied) return;
+  confirmed = trusted ? usage.held : std::min(usage.held, Current());
+  if (usage.grant < offer_grant) return;
   offer = 0;
   offer_grant = 0;
+  most_offered = 0;
+}
+
+void Share::Offer(double rate, std::uint64_t grant) {
+  offer = rate;
+  offer_grant = grant;
+  most_offered = std::max(most_offered, rate);
 }
 
 // An offer on its way may still be taken.
--- a/src/quota/leases.h
+++ b/src/quota/leases.h
@@ -3,6 +3,7 @@
 #ifndef MILLETHOLLOW_QUOTA_LEASES_H_
 #define MILLETHOLLOW_QUOTA_LEASES_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -18,6 +19,7 @@
   double confirmed = 0;           // the rate that it has told
   double offer = 0;               // another rate, granted but not told yet
   std::uint64_t offer_grant = 0;  // the number of that grant, 0: there is none
+  double most_offered = 0;        // it, or what it stands for, which may still arrive
   bool carried = false;           // what is confirmed was granted by an earlier allocator
   double former = 0;              // what former lives of the dispatcher may still use
 
@@ -25,13 +27,15 @@
   // The rate that it is to have by what was granted last.
   double Intended() const { return offered() ? offer : confirmed; }
   // The most that its present life may use.
-  double Current() const { return offered() && offer > confirmed ? offer : confirmed; }
+  double Current() const { return std::max(confirmed, most_offered); }
   double InForce() const { return Current() + former; }
   bool Empty() const { return demand <= 0 && !offered() && confirmed <= 0 && former <= 0; }
 
   // The dispatcher tells what it holds. `trusted`: nothing is known of it here yet, so that its
   // word counts; else it can't hold more than it was granted.
   void Tell(const Usage& usage, bool trusted);
+  // Grants another rate, also in place of one that is not told yet.
+  void Offer(double rate, std::uint64_t grant);
   // The dispatcher has told all that it holds, and this is not among it.
   void TellNothing();
   // All leases of the present life are over.
