--- a/src/quota/allocator.cpp
+++ b/src/quota/allocator.cpp
@@ -170,13 +170,11 @@
   changed_.insert(usage.tenant);
 }
 
-// What the report does not name, the dispatcher does not have.
+// What the report does not name, the dispatcher does not have. From here on it can be granted to.
 void Allocator::EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t told_before) {
   for (const TenantId id : dispatcher.tenants) {
-    if (dispatcher.named.contains(id)) continue;
-    TenantLeases& tenant = tenants_.at(id);
-    tenant.shares.at(from).TellNothing();
     changed_.insert(id);
+    if (!dispatcher.named.contains(id)) tenants_.at(id).shares.at(from).TellNothing();
   }
   dispatcher.named.clear();
   const std::set<TenantId> candidates = taking_over_;
