Quota leases: reserves follow what was granted; unreachable dispatchers free them

Cause: grants to one dispatcher lost for long while its reports arrive kept a whole quota reserved. Change: a lease counts from the newest report that was answered, not from the newest heard; a dispatcher that tells no offer for span_s is not prolonged, and hears of a rate of nothing until it tells that; all open offers go into one grant.

--- a/src/quota/allocator.cpp
+++ b/src/quota/allocator.cpp
@@ -121,10 +121,12 @@
   if (life != dispatcher.life) StartLife(from, dispatcher, life);
   const std::uint64_t told_before = dispatcher.full_epoch;
   const bool whole = dispatcher.TakeReport(report);
+  dispatcher.heard_at = now;
+  dispatcher.silent_at = now + timings_.Widened(timings_.span_s);
+  dispatcher.silent = false;
   for (const Usage& usage : report.usages) TakeUsage(from, dispatcher, usage, told_before);
   if (whole) EndFullReport(from, dispatcher, told_before);
-  dispatcher.leases_end_at = now + timings_.Widened(timings_.span_s);
-  dispatcher.lapsed = false;
+  CheckHearing(from, dispatcher);
   ScheduleEnd(from, dispatcher);
   dispatcher.to_answer = true;
   to_send_.insert(from);
@@ -165,9 +167,45 @@
   const bool trusted = tenant.taking_over && told_before < tenant.taken_epoch;
   Share& share = tenant.shares[from];
   dispatcher.tenants.insert(usage.tenant);
+  share.deaf = dispatcher.deaf;
   share.Tell(usage, trusted);
-  if (!share.offered()) dispatcher.offers.erase(usage.tenant);
+  if (trusted && usage.held > 0) {
+    const double left_s = std::min(usage.left_s, timings_.span_s);
+    ExtendLeases(dispatcher, dispatcher.heard_at + timings_.Widened(left_s));
+  }
   changed_.insert(usage.tenant);
+  if (share.offered() || dispatcher.offers.erase(usage.tenant) == 0) return;
+  dispatcher.offers_since = dispatcher.heard_at;
+  ReleaseWaiting(dispatcher);
+  if (dispatcher.deaf) SetDeaf(from, dispatcher, false);
+}
+
+void Allocator::ExtendLeases(Dispatcher& dispatcher, double until) {
+  dispatcher.leases_end_at = std::max(dispatcher.leases_end_at, until);
+  dispatcher.lapsed = false;
+}
+
+void Allocator::ReleaseWaiting(Dispatcher& dispatcher) {
+  for (const TenantId tenant : dispatcher.waiting) {
+    if (tenants_.contains(tenant)) changed_.insert(tenant);
+  }
+  dispatcher.waiting.clear();
+}
+
+// A dispatcher that tells nothing of what it was granted, report after report, is not prolonged any
+// more, so that what was offered to it is free again.
+void Allocator::CheckHearing(NodeId id, Dispatcher& dispatcher) {
+  if (dispatcher.offers.empty() || !dispatcher.current || dispatcher.deaf) return;
+  const double unheard_s = dispatcher.heard_at - dispatcher.offers_since;
+  if (unheard_s > timings_.span_s) SetDeaf(id, dispatcher, true);
+}
+
+void Allocator::SetDeaf(NodeId id, Dispatcher& dispatcher, bool deaf) {
+  dispatcher.deaf = deaf;
+  for (const TenantId tenant : dispatcher.tenants) {
+    tenants_.at(tenant).shares.at(id).deaf = deaf;
+    changed_.insert(tenant);
+  }
 }
 
 // What the report does not name, the dispatcher does not have. From here on it can be granted to.
@@ -177,6 +215,7 @@
     if (!dispatcher.named.contains(id)) tenants_.at(id).shares.at(from).TellNothing();
   }
   dispatcher.named.clear();
+  dispatcher.offers_since = dispatcher.heard_at;
   const std::set<TenantId> candidates = taking_over_;
   for (const TenantId id : candidates) {
     TenantLeases& tenant = tenants_.at(id);
@@ -206,22 +245,28 @@
 }
 
 void Allocator::EndLeasesOf(double now, NodeId id, Dispatcher& dispatcher) {
-  const bool present_ends = !dispatcher.lapsed && dispatcher.leases_end_at <= now;
-  const bool former_ends = dispatcher.former_ends_at > 0 && dispatcher.former_ends_at <= now;
-  if (!present_ends && !former_ends) return;
+  const bool leases_end = !dispatcher.lapsed && dispatcher.leases_end_at <= now;
+  const bool former_end = dispatcher.former_end_at > 0 && dispatcher.former_end_at <= now;
+  const bool falls_silent = !dispatcher.silent && dispatcher.silent_at <= now;
   for (const TenantId tenant : dispatcher.tenants) {
     TenantLeases& leases = tenants_.at(tenant);
     Share& share = leases.shares.at(id);
-    if (present_ends) share.Lapse();
-    if (former_ends) share.former = 0;
+    if (leases_end) share.Lapse();
+    if (former_end) share.former = 0;
+    if (falls_silent) share.demand = 0;
     changed_.insert(tenant);
   }
-  if (former_ends) dispatcher.former_ends_at = 0;
-  if (!present_ends) return;
-  if (!dispatcher.tenants.empty()) ++counters_.lapses;
-  dispatcher.lapsed = true;
-  dispatcher.current = dispatcher.current && dispatcher.tenants.empty();
-  dispatcher.offers.clear();
+  if (former_end) dispatcher.former_end_at = 0;
+  if (leases_end) {
+    if (!dispatcher.tenants.empty()) ++counters_.lapses;
+    dispatcher.lapsed = true;
+    dispatcher.offers.clear();
+    ReleaseWaiting(dispatcher);
+  }
+  if (falls_silent) {
+    dispatcher.silent = true;
+    dispatcher.current = dispatcher.current && dispatcher.tenants.empty();
+  }
 }
 
 // ---- grants ----
@@ -257,18 +302,36 @@
     dispatchers_.at(share->first).tenants.erase(id);
     share = tenant.shares.erase(share);
   }
-  const auto open = [&](NodeId dispatcher) {
-    return dispatchers_.at(dispatcher).current && !dispatchers_.at(dispatcher).lapsed;
-  };
+  const auto open = [&](NodeId dispatcher) { return CanOffer(now, id, dispatcher); };
   for (const RateChange& change : tenant.Divide(timings_.hysteresis, open)) {
     Offer(id, change.dispatcher, tenant.shares.at(change.dispatcher), change.rate);
   }
+  if (!tenant.taking_over) ProbeDeaf(now, id, tenant);
+}
+
+// A rate of nothing is offered to those that grants did not reach: once they tell it they hear
+// again.
+void Allocator::ProbeDeaf(double now, TenantId id, TenantLeases& tenant) {
+  for (auto& [dispatcher, share] : tenant.shares) {
+    if (!share.deaf || share.demand <= 0 || share.offered()) continue;
+    if (CanOffer(now, id, dispatcher)) Offer(id, dispatcher, share, 0);
+  }
+}
+
+bool Allocator::CanOffer(double now, TenantId tenant, NodeId id) {
+  Dispatcher& dispatcher = dispatchers_.at(id);
+  if (!dispatcher.current || now >= dispatcher.heard_at + timings_.span_s) return false;
+  if (dispatcher.HasRoomForOffer()) return true;
+  dispatcher.waiting.insert(tenant);
+  return false;
 }
 
-void Allocator::Offer(TenantId id, NodeId dispatcher, Share& share, double rate) {
+void Allocator::Offer(TenantId id, NodeId to, Share& share, double rate) {
+  Dispatcher& dispatcher = dispatchers_.at(to);
+  if (dispatcher.offers.empty()) dispatcher.offers_since = dispatcher.heard_at;
   share.Offer(rate, ++last_grant_);
-  dispatchers_.at(dispatcher).offers.insert(id);
-  to_send_.insert(dispatcher);
+  dispatcher.offers.insert(id);
+  to_send_.insert(to);
 }
 
 void Allocator::SendGrants(Actions* actions) {
@@ -284,21 +347,21 @@
   grant.answers = dispatcher.sequence;
   grant.life = dispatcher.life;
   grant.want_full = !dispatcher.current && !dispatcher.in_chain;
-  grant.span_s = dispatcher.current ? timings_.span_s : 0;
-  const auto send = [&] {
-    actions->send.emplace_back(id, grant);
-    ++counters_.grants;
-    grant.assignments.clear();
-  };
   if (dispatcher.current) {
     for (const TenantId tenant : dispatcher.offers) {
       const Share& share = tenants_.at(tenant).shares.at(id);
       grant.assignments.push_back({tenant, share.offer, share.offer_grant});
-      if (grant.assignments.size() == kMostEntries) send();
     }
   }
-  if (dispatcher.to_answer || !grant.assignments.empty()) send();
+  if (!dispatcher.to_answer && grant.assignments.empty()) return;
+  if (dispatcher.current && !dispatcher.deaf) {
+    grant.span_s = timings_.span_s;
+    ExtendLeases(dispatcher, dispatcher.silent_at);
+    ScheduleEnd(id, dispatcher);
+  }
   dispatcher.to_answer = false;
+  ++counters_.grants;
+  actions->send.emplace_back(id, std::move(grant));
 }
 
 double Allocator::NextAt() const {
@@ -333,7 +396,7 @@
   for (const auto& [id, share] : found->second.shares) {
     const Dispatcher& dispatcher = dispatchers_.at(id);
     if (now < dispatcher.leases_end_at) in_force += share.Current();
-    if (now < dispatcher.former_ends_at) in_force += share.former;
+    if (now < dispatcher.former_end_at) in_force += share.former;
   }
   return TakingOver(now, tenant) ? std::max(in_force, found->second.leasable) : in_force;
 }
--- a/src/quota/allocator.h
+++ b/src/quota/allocator.h
@@ -62,6 +62,10 @@
   Refusal CheckUsages(const Report& report) const;
   void TakeUsage(NodeId from, Dispatcher& dispatcher, const Usage& usage,
                  std::uint64_t told_before);
+  static void ExtendLeases(Dispatcher& dispatcher, double until);
+  void ReleaseWaiting(Dispatcher& dispatcher);
+  void CheckHearing(NodeId id, Dispatcher& dispatcher);
+  void SetDeaf(NodeId id, Dispatcher& dispatcher, bool deaf);
   void EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t told_before);
   void StartLife(NodeId id, Dispatcher& dispatcher, Life life);
 
@@ -78,7 +82,9 @@
 
   void DivideChanged(double now);
   void Divide(double now, TenantId id, TenantLeases& tenant);
-  void Offer(TenantId id, NodeId dispatcher, Share& share, double rate);
+  void ProbeDeaf(double now, TenantId id, TenantLeases& tenant);
+  bool CanOffer(double now, TenantId tenant, NodeId id);
+  void Offer(TenantId id, NodeId to, Share& share, double rate);
   void SendGrants(Actions* actions);
   void SendGrant(NodeId id, Dispatcher& dispatcher, Actions* actions);
 
--- a/src/quota/dispatcher.cpp
+++ b/src/quota/dispatcher.cpp
@@ -18,12 +18,13 @@
 void Dispatcher::StartLife(Life started) {
   if (life != 0) former_lives.push_back(life);
   if (former_lives.size() > kMostFormerLives) former_lives.pop_front();
-  if (!lapsed) former_ends_at = std::max(former_ends_at, leases_end_at);
+  if (!lapsed) former_end_at = std::max(former_end_at, leases_end_at);
   life = started;
   sequence = 0;
   current = false;
   in_chain = false;
   lapsed = true;
+  deaf = false;
   offers.clear();
 }
 
@@ -49,7 +50,8 @@
 double Dispatcher::NextEnd() const {
   double next = kNone;
   if (!lapsed) next = leases_end_at;
-  if (former_ends_at > 0) next = std::min(next, former_ends_at);
+  if (!silent) next = std::min(next, silent_at);
+  if (former_end_at > 0) next = std::min(next, former_end_at);
   return next;
 }
 
--- a/src/quota/dispatcher.h
+++ b/src/quota/dispatcher.h
@@ -14,6 +14,8 @@
 namespace millethollow::quota {
 
 struct Dispatcher {
+  static constexpr double kNone = std::numeric_limits<double>::infinity();
+
   Life life = 0;  // 0: nothing was heard of it
   std::deque<Life> former_lives;
   std::uint64_t sequence = 0;    // of the newest report
@@ -22,14 +24,20 @@
   bool in_chain = false;         // a full report is under way, nothing of it is missing
   std::set<TenantId> named;      // in it
   bool to_answer = false;
-  double leases_end_at = 0;    // of the present life; kNever's contrary: none was heard
-  double former_ends_at = 0;   // of former lives
-  bool lapsed = true;          // nothing of the present life is in force
+
+  double heard_at = -kNone;    // when the newest report came
+  double silent_at = 0;        // what it needs is not known any more, unless it reports before
+  bool silent = true;          // that is so
+  double leases_end_at = 0;    // all that its present life may hold is over
+  bool lapsed = true;          // that is so
+  double former_end_at = 0;    // ... and all that former lives may hold; 0: that is so
+  double checked_at = kNone;   // when the next of these moments is looked at
   std::set<TenantId> tenants;  // with a share
-  std::set<TenantId> offers;   // granted but not told yet
-  double checked_at = kNone;   // when the next end of leases is looked at
 
-  static constexpr double kNone = std::numeric_limits<double>::infinity();
+  std::set<TenantId> offers;   // granted but not told yet, at most kMostEntries
+  std::set<TenantId> waiting;  // tenants to be offered once there is room among the offers
+  double offers_since = 0;     // when the first of them was made, or the last one was told
+  bool deaf = false;           // it reports, but tells no offer: grants don't reach it
 
   // Whether a report of this life and number is newer than all others.
   bool IsNews(Life reporter, std::uint64_t number) const;
@@ -37,7 +45,9 @@
   void StartLife(Life started);
   // A report came. Whether it ends a full one that has come whole.
   bool TakeReport(const Report& report);
-  // The next moment at which a lease may be over; kNone: there is none.
+  // All offers go into one grant, so that each grant carries all that is open.
+  bool HasRoomForOffer() const { return deaf ? offers.empty() : offers.size() < kMostEntries; }
+  // The next moment at which leases may be over or it is silent; kNone: there is none.
   double NextEnd() const;
 };
 
--- a/src/quota/leases.cpp
+++ b/src/quota/leases.cpp
@@ -36,9 +36,11 @@
 }
 
 void Share::Lapse() {
-  const double still_former = former;
-  *this = Share{};
-  former = still_former;
+  confirmed = 0;
+  carried = false;
+  offer = 0;
+  offer_grant = 0;
+  most_offered = 0;
 }
 
 void Share::StartLife() {
@@ -60,7 +62,7 @@
   double available = leasable;
   for (const auto& [dispatcher, share] : shares) {
     available -= share.former;
-    claims.push_back({share.demand, share.Intended()});
+    claims.push_back({share.deaf ? 0 : share.demand, share.Intended()});
     wishes.push_back({dispatcher, share.Intended(), 0});
   }
   const std::vector<double> rates = SteadyRates(std::max(0.0, available), claims, hysteresis);
@@ -68,6 +70,18 @@
   return wishes;
 }
 
+std::vector<RateChange> TenantLeases::Divide(double hysteresis,
+                                             const std::function<bool(NodeId)>& open) const {
+  if (taking_over) return {};
+  std::vector<Wish> possible;
+  for (const Wish& wish : Wishes(hysteresis)) {
+    const Share& share = shares.at(wish.dispatcher);
+    const bool needed = wish.from != wish.to || share.carried;
+    if (needed && !share.offered() && open(wish.dispatcher)) possible.push_back(wish);
+  }
+  return Granted(possible);
+}
+
 std::vector<RateChange> TenantLeases::Granted(const std::vector<Wish>& wishes) const {
   double wanted = 0;
   for (const Wish& wish : wishes) wanted += std::max(0.0, wish.to - wish.from);
--- a/src/quota/leases.h
+++ b/src/quota/leases.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <vector>
@@ -21,7 +22,8 @@
   std::uint64_t offer_grant = 0;  // the number of that grant, 0: there is none
   double most_offered = 0;        // it, or what it stands for, which may still arrive
   bool carried = false;           // what is confirmed was granted by an earlier allocator
-  double former = 0;              // what former lives of the dispatcher may still use
+  bool deaf = false;  // grants do not reach the dispatcher: its demand counts for nothing
+  double former = 0;  // what former lives of the dispatcher may still use
 
   bool offered() const { return offer_grant != 0; }
   // The rate that it is to have by what was granted last.
@@ -38,7 +40,7 @@
   void Offer(double rate, std::uint64_t grant);
   // The dispatcher has told all that it holds, and this is not among it.
   void TellNothing();
-  // All leases of the present life are over.
+  // All leases of the present life are over; its demand stays.
   void Lapse();
   // The dispatcher has started again.
   void StartLife();
@@ -64,8 +66,7 @@
   // The changes that bring rates nearer to the division by demand, none during a takeover. Raises
   // are taken from what is free; what an earlier allocator granted is granted anew. `open`: who can
   // be granted to.
-  template <typename Open>
-  std::vector<RateChange> Divide(double hysteresis, const Open& open) const;
+  std::vector<RateChange> Divide(double hysteresis, const std::function<bool(NodeId)>& open) const;
 
  private:
   struct Wish {
@@ -76,16 +77,6 @@
   std::vector<RateChange> Granted(const std::vector<Wish>& wishes) const;
 };
 
-template <typename Open>
-std::vector<RateChange> TenantLeases::Divide(double hysteresis, const Open& open) const {
-  if (taking_over) return {};
-  std::vector<Wish> possible;
-  for (const Wish& wish : Wishes(hysteresis)) {
-    if (!shares.at(wish.dispatcher).offered() && open(wish.dispatcher)) possible.push_back(wish);
-  }
-  return Granted(possible);
-}
-
 }  // namespace millethollow::quota
 
 #endif  // MILLETHOLLOW_QUOTA_LEASES_H_
