--- a/src/quota/allocator.cpp
+++ b/src/quota/allocator.cpp
@@ -30,7 +30,7 @@
   const AllocatorView before = std::exchange(view_, view);
   for (auto& [id, dispatcher] : dispatchers_) {
     dispatcher.current = false;
-    dispatcher.in_chain = false;
+    dispatcher.in_full_report = false;
     dispatcher.to_answer = false;
   }
   to_send_.clear();
@@ -52,7 +52,7 @@
   taken.taken_epoch = view_.epoch;
   taken.taking_over = true;
   taken.takeover_ends_at = now + timings_.Widened(timings_.act_s + timings_.span_s);
-  taken.untold = dispatchers_.size();
+  taken.unreported = dispatchers_.size();
   taking_over_.insert(tenant);
   ++counters_.takeovers;
 }
@@ -119,14 +119,14 @@
   ++counters_.reports;
   Dispatcher& dispatcher = found->second;
   if (life != dispatcher.life) StartLife(from, dispatcher, life);
-  const std::uint64_t told_before = dispatcher.full_epoch;
+  const std::uint64_t full_epoch_before = dispatcher.full_epoch;
   const bool whole = dispatcher.TakeReport(report);
   dispatcher.heard_at = now;
   dispatcher.silent_at = now + timings_.Widened(timings_.span_s);
   dispatcher.silent = false;
-  for (const Usage& usage : report.usages) TakeUsage(from, dispatcher, usage, told_before);
-  if (whole) EndFullReport(from, dispatcher, told_before);
-  CheckHearing(from, dispatcher);
+  for (const Usage& usage : report.usages) TakeUsage(from, dispatcher, usage, full_epoch_before);
+  if (whole) EndFullReport(from, dispatcher, full_epoch_before);
+  CheckReachable(from, dispatcher);
   ScheduleEnd(from, dispatcher);
   dispatcher.to_answer = true;
   to_send_.insert(from);
@@ -162,13 +162,13 @@
 }
 
 void Allocator::TakeUsage(NodeId from, Dispatcher& dispatcher, const Usage& usage,
-                          std::uint64_t told_before) {
+                          std::uint64_t full_epoch_before) {
   TenantLeases& tenant = tenants_.at(usage.tenant);
-  const bool trusted = tenant.taking_over && told_before < tenant.taken_epoch;
+  const bool trusted = tenant.taking_over && full_epoch_before < tenant.taken_epoch;
   Share& share = tenant.shares[from];
   dispatcher.tenants.insert(usage.tenant);
-  share.deaf = dispatcher.deaf;
-  share.Tell(usage, trusted);
+  share.unreachable = dispatcher.unreachable;
+  share.Confirm(usage, trusted);
   if (trusted && usage.held > 0) {
     const double left_s = std::min(usage.left_s, timings_.span_s);
     ExtendLeases(dispatcher, dispatcher.heard_at + timings_.Widened(left_s));
@@ -177,7 +177,7 @@
   if (share.offered() || dispatcher.offers.erase(usage.tenant) == 0) return;
   dispatcher.offers_since = dispatcher.heard_at;
   ReleaseWaiting(dispatcher);
-  if (dispatcher.deaf) SetDeaf(from, dispatcher, false);
+  if (dispatcher.unreachable) SetUnreachable(from, dispatcher, false);
 }
 
 void Allocator::ExtendLeases(Dispatcher& dispatcher, double until) {
@@ -194,42 +194,43 @@
 
 // A dispatcher that tells nothing of what it was granted, report after report, is not prolonged any
 // more, so that what was offered to it is free again.
-void Allocator::CheckHearing(NodeId id, Dispatcher& dispatcher) {
-  if (dispatcher.offers.empty() || !dispatcher.current || dispatcher.deaf) return;
+void Allocator::CheckReachable(NodeId id, Dispatcher& dispatcher) {
+  if (dispatcher.offers.empty() || !dispatcher.current || dispatcher.unreachable) return;
   const double unheard_s = dispatcher.heard_at - dispatcher.offers_since;
-  if (unheard_s > timings_.span_s) SetDeaf(id, dispatcher, true);
+  if (unheard_s > timings_.span_s) SetUnreachable(id, dispatcher, true);
 }
 
-void Allocator::SetDeaf(NodeId id, Dispatcher& dispatcher, bool deaf) {
-  dispatcher.deaf = deaf;
+void Allocator::SetUnreachable(NodeId id, Dispatcher& dispatcher, bool unreachable) {
+  dispatcher.unreachable = unreachable;
   for (const TenantId tenant : dispatcher.tenants) {
-    tenants_.at(tenant).shares.at(id).deaf = deaf;
+    tenants_.at(tenant).shares.at(id).unreachable = unreachable;
     changed_.insert(tenant);
   }
 }
 
 // What the report does not name, the dispatcher does not have. From here on it can be granted to.
-void Allocator::EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t told_before) {
+void Allocator::EndFullReport(NodeId from, Dispatcher& dispatcher,
+                              std::uint64_t full_epoch_before) {
   for (const TenantId id : dispatcher.tenants) {
     changed_.insert(id);
-    if (!dispatcher.named.contains(id)) tenants_.at(id).shares.at(from).TellNothing();
+    if (!dispatcher.named.contains(id)) tenants_.at(id).shares.at(from).ConfirmNothing();
   }
   dispatcher.named.clear();
   dispatcher.offers_since = dispatcher.heard_at;
   const std::set<TenantId> candidates = taking_over_;
   for (const TenantId id : candidates) {
     TenantLeases& tenant = tenants_.at(id);
-    const bool first = told_before < tenant.taken_epoch;
-    if (first && --tenant.untold == 0) EndTakeover(id, tenant);
+    const bool first = full_epoch_before < tenant.taken_epoch;
+    if (first && --tenant.unreported == 0) EndTakeover(id, tenant);
   }
 }
 
 // ---- the end of leases ----
 
 void Allocator::ScheduleEnd(NodeId id, Dispatcher& dispatcher) {
-  if (dispatcher.checked_at != Dispatcher::kNone) return;
+  if (dispatcher.checked_at != Dispatcher::kNever) return;
   dispatcher.checked_at = dispatcher.NextEnd();
-  if (dispatcher.checked_at != Dispatcher::kNone) ends_.emplace(dispatcher.checked_at, id);
+  if (dispatcher.checked_at != Dispatcher::kNever) ends_.emplace(dispatcher.checked_at, id);
 }
 
 // Reports only move ends to later, so each dispatcher is looked at where its earliest was.
@@ -238,7 +239,7 @@
     const NodeId id = ends_.begin()->second;
     ends_.erase(ends_.begin());
     Dispatcher& dispatcher = dispatchers_.at(id);
-    dispatcher.checked_at = Dispatcher::kNone;
+    dispatcher.checked_at = Dispatcher::kNever;
     EndLeasesOf(now, id, dispatcher);
     ScheduleEnd(id, dispatcher);
   }
@@ -302,25 +303,25 @@
     dispatchers_.at(share->first).tenants.erase(id);
     share = tenant.shares.erase(share);
   }
-  const auto open = [&](NodeId dispatcher) { return CanOffer(now, id, dispatcher); };
+  const auto open = [&](NodeId dispatcher) { return CanOffer(id, dispatcher); };
   for (const RateChange& change : tenant.Divide(timings_.hysteresis, open)) {
     Offer(id, change.dispatcher, tenant.shares.at(change.dispatcher), change.rate);
   }
-  if (!tenant.taking_over) ProbeDeaf(now, id, tenant);
+  if (!tenant.taking_over) ProbeUnreachable(id, tenant);
 }
 
 // A rate of nothing is offered to those that grants did not reach: once they tell it they hear
 // again.
-void Allocator::ProbeDeaf(double now, TenantId id, TenantLeases& tenant) {
+void Allocator::ProbeUnreachable(TenantId id, TenantLeases& tenant) {
   for (auto& [dispatcher, share] : tenant.shares) {
-    if (!share.deaf || share.demand <= 0 || share.offered()) continue;
-    if (CanOffer(now, id, dispatcher)) Offer(id, dispatcher, share, 0);
+    if (!share.unreachable || share.demand <= 0 || share.offered()) continue;
+    if (CanOffer(id, dispatcher)) Offer(id, dispatcher, share, 0);
   }
 }
 
-bool Allocator::CanOffer(double now, TenantId tenant, NodeId id) {
+bool Allocator::CanOffer(TenantId tenant, NodeId id) {
   Dispatcher& dispatcher = dispatchers_.at(id);
-  if (!dispatcher.current || now >= dispatcher.heard_at + timings_.span_s) return false;
+  if (!dispatcher.current || dispatcher.silent) return false;
   if (dispatcher.HasRoomForOffer()) return true;
   dispatcher.waiting.insert(tenant);
   return false;
@@ -346,7 +347,7 @@
   grant.epoch = view_.epoch;
   grant.answers = dispatcher.sequence;
   grant.life = dispatcher.life;
-  grant.want_full = !dispatcher.current && !dispatcher.in_chain;
+  grant.want_full = !dispatcher.current && !dispatcher.in_full_report;
   if (dispatcher.current) {
     for (const TenantId tenant : dispatcher.offers) {
       const Share& share = tenants_.at(tenant).shares.at(id);
@@ -354,7 +355,7 @@
     }
   }
   if (!dispatcher.to_answer && grant.assignments.empty()) return;
-  if (dispatcher.current && !dispatcher.deaf) {
+  if (dispatcher.current && !dispatcher.unreachable) {
     grant.span_s = timings_.span_s;
     ExtendLeases(dispatcher, dispatcher.silent_at);
     ScheduleEnd(id, dispatcher);
@@ -365,7 +366,7 @@
 }
 
 double Allocator::NextAt() const {
-  double next = ends_.empty() ? Dispatcher::kNone : ends_.begin()->first;
+  double next = ends_.empty() ? Dispatcher::kNever : ends_.begin()->first;
   for (const TenantId id : taking_over_) next = std::min(next, tenants_.at(id).takeover_ends_at);
   if (!to_send_.empty() || !changed_.empty()) {
     // One that may not act is looked at now and then: it may again.
--- a/src/quota/allocator.h
+++ b/src/quota/allocator.h
@@ -61,12 +61,12 @@
   Refusal Check(const Dispatcher& dispatcher, Life life, const Report& report) const;
   Refusal CheckUsages(const Report& report) const;
   void TakeUsage(NodeId from, Dispatcher& dispatcher, const Usage& usage,
-                 std::uint64_t told_before);
+                 std::uint64_t full_epoch_before);
   static void ExtendLeases(Dispatcher& dispatcher, double until);
   void ReleaseWaiting(Dispatcher& dispatcher);
-  void CheckHearing(NodeId id, Dispatcher& dispatcher);
-  void SetDeaf(NodeId id, Dispatcher& dispatcher, bool deaf);
-  void EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t told_before);
+  void CheckReachable(NodeId id, Dispatcher& dispatcher);
+  void SetUnreachable(NodeId id, Dispatcher& dispatcher, bool unreachable);
+  void EndFullReport(NodeId from, Dispatcher& dispatcher, std::uint64_t full_epoch_before);
   void StartLife(NodeId id, Dispatcher& dispatcher, Life life);
 
   void TakeOver(double now, TenantId tenant);
@@ -82,8 +82,8 @@
 
   void DivideChanged(double now);
   void Divide(double now, TenantId id, TenantLeases& tenant);
-  void ProbeDeaf(double now, TenantId id, TenantLeases& tenant);
-  bool CanOffer(double now, TenantId tenant, NodeId id);
+  void ProbeUnreachable(TenantId id, TenantLeases& tenant);
+  bool CanOffer(TenantId tenant, NodeId id);
   void Offer(TenantId id, NodeId to, Share& share, double rate);
   void SendGrants(Actions* actions);
   void SendGrant(NodeId id, Dispatcher& dispatcher, Actions* actions);
--- a/src/quota/dispatcher.cpp
+++ b/src/quota/dispatcher.cpp
@@ -22,9 +22,9 @@
   life = started;
   sequence = 0;
   current = false;
-  in_chain = false;
+  in_full_report = false;
   lapsed = true;
-  deaf = false;
+  unreachable = false;
   offers.clear();
 }
 
@@ -32,23 +32,23 @@
   const bool gap = report.sequence != sequence + 1;
   sequence = report.sequence;
   if (report.full) {
-    in_chain = true;
+    in_full_report = true;
     named.clear();
   } else if (gap) {
-    in_chain = false;
+    in_full_report = false;
     current = false;
   }
-  if (!in_chain) return false;
+  if (!in_full_report) return false;
   for (const Usage& usage : report.usages) named.insert(usage.tenant);
   if (report.usages.size() == kMostEntries) return false;
-  in_chain = false;
+  in_full_report = false;
   full_epoch = std::max(full_epoch, report.epoch);
   current = true;
   return true;
 }
 
 double Dispatcher::NextEnd() const {
-  double next = kNone;
+  double next = kNever;
   if (!lapsed) next = leases_end_at;
   if (!silent) next = std::min(next, silent_at);
   if (former_end_at > 0) next = std::min(next, former_end_at);
--- a/src/quota/dispatcher.h
+++ b/src/quota/dispatcher.h
@@ -14,30 +14,30 @@
 namespace millethollow::quota {
 
 struct Dispatcher {
-  static constexpr double kNone = std::numeric_limits<double>::infinity();
+  static constexpr double kNever = std::numeric_limits<double>::infinity();
 
   Life life = 0;  // 0: nothing was heard of it
   std::deque<Life> former_lives;
   std::uint64_t sequence = 0;    // of the newest report
   std::uint64_t full_epoch = 0;  // of the newest report that was full, to its end
   bool current = false;          // all it holds and needs is known, in the view that is known here
-  bool in_chain = false;         // a full report is under way, nothing of it is missing
+  bool in_full_report = false;   // a full report is under way, nothing of it is missing
   std::set<TenantId> named;      // in it
   bool to_answer = false;
 
-  double heard_at = -kNone;    // when the newest report came
-  double silent_at = 0;        // what it needs is not known any more, unless it reports before
-  bool silent = true;          // that is so
-  double leases_end_at = 0;    // all that its present life may hold is over
-  bool lapsed = true;          // that is so
-  double former_end_at = 0;    // ... and all that former lives may hold; 0: that is so
-  double checked_at = kNone;   // when the next of these moments is looked at
+  double heard_at = -kNever;   // when the newest report came
+  double silent_at = 0;        // its demand is forgotten then, unless it reports before
+  bool silent = true;          // it was
+  double leases_end_at = 0;    // all that its present life may hold is over then
+  bool lapsed = true;          // it is
+  double former_end_at = 0;    // all that former lives may hold is over then; 0: it is
+  double checked_at = kNever;  // when the next of these moments is looked at
   std::set<TenantId> tenants;  // with a share
 
   std::set<TenantId> offers;   // granted but not told yet, at most kMostEntries
   std::set<TenantId> waiting;  // tenants to be offered once there is room among the offers
   double offers_since = 0;     // when the first of them was made, or the last one was told
-  bool deaf = false;           // it reports, but tells no offer: grants don't reach it
+  bool unreachable = false;    // it reports, but tells no offer: grants don't reach it
 
   // Whether a report of this life and number is newer than all others.
   bool IsNews(Life reporter, std::uint64_t number) const;
@@ -46,8 +46,10 @@
   // A report came. Whether it ends a full one that has come whole.
   bool TakeReport(const Report& report);
   // All offers go into one grant, so that each grant carries all that is open.
-  bool HasRoomForOffer() const { return deaf ? offers.empty() : offers.size() < kMostEntries; }
-  // The next moment at which leases may be over or it is silent; kNone: there is none.
+  bool HasRoomForOffer() const {
+    return unreachable ? offers.empty() : offers.size() < kMostEntries;
+  }
+  // The next moment at which leases may be over or it is silent; kNever: there is none.
   double NextEnd() const;
 };
 
--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -73,7 +73,7 @@
   link.full = true;
   link.full_begin = 0;
   link.full_end = 0;
-  link.told = 0;
+  link.reported_tenants = 0;
   link.retry_s = kRetryGaps * timings_.report_gap_s;
   MakeDue(now, allocator);
 }
@@ -97,9 +97,9 @@
 void Holder::SetDemand(double now, std::size_t tenant, double demand) {
   Tenant& changed = tenants_.at(tenant);
   changed.demand = ValidRate(demand);
-  const double difference = std::abs(changed.demand - changed.told_demand);
-  const bool begins_or_ends = (changed.demand > 0) != (changed.told_demand > 0);
-  if (begins_or_ends || difference > timings_.hysteresis * changed.told_demand) {
+  const double difference = std::abs(changed.demand - changed.reported_demand);
+  const bool begins_or_ends = (changed.demand > 0) != (changed.reported_demand > 0);
+  if (begins_or_ends || difference > timings_.hysteresis * changed.reported_demand) {
     MakeDue(now, changed.allocator.id);
   }
 }
@@ -205,35 +205,35 @@
 }
 
 bool Holder::IsToTell(const Link& link, const Tenant& tenant) const {
-  if (tenant.changed || tenant.demand != tenant.told_demand) return true;
+  if (tenant.changed || tenant.demand != tenant.reported_demand) return true;
   const bool in_use = tenant.demand > 0 || tenant.rate > 0;
-  return in_use && (link.full || link.told > 0);
+  return in_use && (link.full || link.reported_tenants > 0);
 }
 
 // What is to be told, as much as one report holds; it counts as told from here on.
 std::vector<Usage> Holder::TakeUsages(double now, Link& link) {
   std::vector<Usage> usages;
-  std::size_t next = link.told;
+  std::size_t next = link.reported_tenants;
   for (; next < link.tenants.size() && usages.size() < kMostEntries; ++next) {
     Tenant& tenant = tenants_[link.tenants[next]];
     if (!IsToTell(link, tenant)) continue;
     tenant.changed = false;
-    tenant.told_demand = tenant.demand;
+    tenant.reported_demand = tenant.demand;
     const double left_s = tenant.rate > 0 ? tenant.until - now : 0;
     usages.push_back({tenant.id, tenant.demand, tenant.rate, left_s, tenant.grant});
   }
-  const bool is_full = link.full || link.told > 0;
-  link.told = is_full && usages.size() == kMostEntries ? next : 0;
+  const bool is_full = link.full || link.reported_tenants > 0;
+  link.reported_tenants = is_full && usages.size() == kMostEntries ? next : 0;
   return usages;
 }
 
 // A full report that was begun is ended, also if all was told in another one meanwhile.
 void Holder::SendReport(double now, NodeId allocator, Link& link, Actions* actions) {
-  const bool is_full = link.full || link.told > 0;
+  const bool is_full = link.full || link.reported_tenants > 0;
   Report report;
   report.epoch = view_.epoch;
   report.sequence = ++link.sequence;
-  report.full = is_full && link.told == 0;
+  report.full = is_full && link.reported_tenants == 0;
   report.usages = TakeUsages(now, link);
   const bool more = report.usages.size() == kMostEntries;
   if (report.full && link.full_begin == 0) link.full_begin = report.sequence;
@@ -255,13 +255,13 @@
 bool Holder::NeedsRenewal(const Link& link) const {
   if (link.heard_answer < link.sequence) return true;
   return std::any_of(link.tenants.begin(), link.tenants.end(), [&](std::size_t i) {
-    return tenants_[i].told_demand > 0 || tenants_[i].rate > 0;
+    return tenants_[i].reported_demand > 0 || tenants_[i].rate > 0;
   });
 }
 
 double Holder::NextDue(const Link& link) const {
   const double renewal = NeedsRenewal(link) ? link.reported_at + timings_.renew_s : kNever;
-  const bool unanswered = link.full && link.full_end != 0 && link.told == 0;
+  const bool unanswered = link.full && link.full_end != 0 && link.reported_tenants == 0;
   const double retry = unanswered ? link.reported_at + link.retry_s : kNever;
   return std::min({link.due_at, renewal, retry});
 }
--- a/src/quota/holder.h
+++ b/src/quota/holder.h
@@ -54,7 +54,7 @@
  private:
   struct Tenant {
     TenantId id = 0;
-    double quota = 0, demand = 0, told_demand = 0;
+    double quota = 0, demand = 0, reported_demand = 0;
     double rate = 0, until = 0;  // of the lease
     // Applied last, of this allocator; 0: the lease is of an earlier one.
     std::uint64_t grant = 0;
@@ -70,7 +70,7 @@
     bool active = false;     // allocates in the view that is known
     bool full = false;       // all is to be told, until a report that ends it is answered
     std::uint64_t full_begin = 0, full_end = 0;  // sequences of the first full report; 0: not yet
-    std::size_t told = 0;                        // tenants passed by the full report under way
+    std::size_t reported_tenants = 0;            // tenants passed by the full report under way
     double retry_s = 0;                          // from a full report to the next, unanswered
     std::vector<std::size_t> tenants;            // that it allocates, by index
     std::deque<std::pair<std::uint64_t, double>> sent;  // sequence, and when; bounded
--- a/src/quota/leases.cpp
+++ b/src/quota/leases.cpp
@@ -12,9 +12,9 @@
 
 }  // namespace
 
-void Share::Tell(const Usage& usage, bool trusted) {
+void Share::Confirm(const Usage& usage, bool trusted) {
   demand = usage.demand;
-  carried = usage.held > 0 && usage.grant == 0;
+  inherited = usage.held > 0 && usage.grant == 0;
   confirmed = trusted ? usage.held : std::min(usage.held, Current());
   if (usage.grant < offer_grant) return;
   offer = 0;
@@ -29,15 +29,15 @@
 }
 
 // An offer on its way may still be taken.
-void Share::TellNothing() {
+void Share::ConfirmNothing() {
   demand = 0;
   confirmed = 0;
-  carried = false;
+  inherited = false;
 }
 
 void Share::Lapse() {
   confirmed = 0;
-  carried = false;
+  inherited = false;
   offer = 0;
   offer_grant = 0;
   most_offered = 0;
@@ -62,7 +62,7 @@
   double available = leasable;
   for (const auto& [dispatcher, share] : shares) {
     available -= share.former;
-    claims.push_back({share.deaf ? 0 : share.demand, share.Intended()});
+    claims.push_back({share.unreachable ? 0 : share.demand, share.Intended()});
     wishes.push_back({dispatcher, share.Intended(), 0});
   }
   const std::vector<double> rates = SteadyRates(std::max(0.0, available), claims, hysteresis);
@@ -76,7 +76,7 @@
   std::vector<Wish> possible;
   for (const Wish& wish : Wishes(hysteresis)) {
     const Share& share = shares.at(wish.dispatcher);
-    const bool needed = wish.from != wish.to || share.carried;
+    const bool needed = wish.from != wish.to || share.inherited;
     if (needed && !share.offered() && open(wish.dispatcher)) possible.push_back(wish);
   }
   return Granted(possible);
@@ -95,7 +95,7 @@
       const bool worth_it = part >= 1 - kRounding || raise >= kLeastPartOfRate * wish.to;
       rate = worth_it ? wish.from + raise : wish.from;
     }
-    if (rate != wish.from || shares.at(wish.dispatcher).carried) {
+    if (rate != wish.from || shares.at(wish.dispatcher).inherited) {
       changes.push_back({wish.dispatcher, rate});
     }
   }
--- a/src/quota/leases.h
+++ b/src/quota/leases.h
@@ -20,10 +20,10 @@
   double confirmed = 0;           // the rate that it has told
   double offer = 0;               // another rate, granted but not told yet
   std::uint64_t offer_grant = 0;  // the number of that grant, 0: there is none
-  double most_offered = 0;        // it, or what it stands for, which may still arrive
-  bool carried = false;           // what is confirmed was granted by an earlier allocator
-  bool deaf = false;  // grants do not reach the dispatcher: its demand counts for nothing
-  double former = 0;  // what former lives of the dispatcher may still use
+  double most_offered = 0;        // the largest rate since, which may still arrive
+  bool inherited = false;         // what is confirmed was granted by an earlier allocator
+  bool unreachable = false;  // grants do not reach the dispatcher: its demand counts for nothing
+  double former = 0;         // what former lives of the dispatcher may still use
 
   bool offered() const { return offer_grant != 0; }
   // The rate that it is to have by what was granted last.
@@ -35,11 +35,11 @@
 
   // The dispatcher tells what it holds. `trusted`: nothing is known of it here yet, so that its
   // word counts; else it can't hold more than it was granted.
-  void Tell(const Usage& usage, bool trusted);
+  void Confirm(const Usage& usage, bool trusted);
   // Grants another rate, also in place of one that is not told yet.
   void Offer(double rate, std::uint64_t grant);
   // The dispatcher has told all that it holds, and this is not among it.
-  void TellNothing();
+  void ConfirmNothing();
   // All leases of the present life are over; its demand stays.
   void Lapse();
   // The dispatcher has started again.
@@ -59,7 +59,7 @@
   std::uint64_t taken_epoch = 0;  // of the view that brought the tenant here
   bool taking_over = false;       // not all of what others granted is known
   double takeover_ends_at = 0;    // whatever they granted is over
-  std::size_t untold = 0;         // dispatchers that have not told all in taken_epoch or later
+  std::size_t unreported = 0;     // dispatchers that have not told all in taken_epoch or later
   double divided_at = -std::numeric_limits<double>::infinity();
 
   double InForce() const;
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -341,9 +341,9 @@
 
 // ---- refusals ----
 
-class QuotaRefusals : public ::testing::Test {
+class QuotaRefusal : public ::testing::Test {
  protected:
-  QuotaRefusals() {
+  QuotaRefusal() {
     cluster.SetView(5);
     cluster.holder(1).SetDemand(cluster.now, 0, 10);
     cluster.Run(1);
@@ -381,7 +381,7 @@
   Grant good_grant;
 };
 
-TEST_F(QuotaRefusals, OfReports) {
+TEST_F(QuotaRefusal, OfReports) {
   Report report = good_report;
   report.epoch = 4;
   ExpectRefused(report, Refusal::kOldEpoch);
@@ -411,14 +411,14 @@
   EXPECT_EQ(cluster.allocator().Hear(cluster.now, 1, cluster.life(1), good_report), Refusal::kNone);
 }
 
-TEST_F(QuotaRefusals, OfReportsOfAFormerLife) {
+TEST_F(QuotaRefusal, OfReportsOfAFormerLife) {
   Report first = good_report;
   first.sequence = 1;
   EXPECT_EQ(cluster.allocator().Hear(cluster.now, 1, 555, first), Refusal::kNone);
   ExpectRefused(good_report, Refusal::kDoubled);
 }
 
-TEST_F(QuotaRefusals, OfGrants) {
+TEST_F(QuotaRefusal, OfGrants) {
   Grant grant = good_grant;
   grant.epoch = 4;
   ExpectRefused(grant, Refusal::kOldEpoch);
@@ -449,7 +449,7 @@
   }
 }
 
-TEST_F(QuotaRefusals, OfADoubledGrant) {
+TEST_F(QuotaRefusal, OfADoubledGrant) {
   Holder& holder = cluster.holder(2);
   holder.SetDemand(cluster.now, 0, 10);
   Actions reports;
