--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -236,6 +236,60 @@
   EXPECT_FALSE(cluster.allocator().TakingOver(cluster.now, 1));
 }
 
+TEST(QuotaLease, ADispatcherThatGrantsDoNotReachKeepsNothing) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  cluster.Run(1);
+  cluster.lose_grants[1] = true;
+  cluster.holder(1).SetDemand(cluster.now, 0, 50);
+  cluster.Run(0.5);
+  EXPECT_NEAR(cluster.allocator().Reserved(cluster.now, kTenant), 96, 0.1) << "an open offer";
+  cluster.holder(2).SetDemand(cluster.now, 0, 50);
+  cluster.Run(2 * Timings{}.span_s + 1);
+  EXPECT_NEAR(cluster.holder(2).Lease(cluster.now, 0), 96, 0.1)
+      << "reports without end change it not";
+  cluster.Run(10);
+  EXPECT_NEAR(cluster.holder(2).Lease(cluster.now, 0), 96, 0.1);
+  cluster.lose_grants[1] = false;
+  cluster.Run(2);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 48, 0.1) << "it is found again";
+  EXPECT_NEAR(cluster.holder(2).Lease(cluster.now, 0), 48, 0.1);
+}
+
+TEST(QuotaLease, ALoweredQuotaLowersAnOpenOffer) {
+  Cluster cluster(2);
+  cluster.SetView(1);
+  cluster.Run(1);
+  cluster.lose_grants[1] = true;
+  cluster.holder(1).SetDemand(cluster.now, 0, 50);
+  cluster.Run(0.5);
+  cluster.allocator().SetQuotas(cluster.now, {{kTenant, 10}});
+  cluster.Run(0.5);
+  EXPECT_NEAR(cluster.allocator().Reserved(cluster.now, kTenant), 96, 0.1)
+      << "the larger offer may still arrive";
+  cluster.lose_grants[1] = false;
+  cluster.Run(1);
+  EXPECT_NEAR(cluster.holder(1).Lease(cluster.now, 0), 9.6, 0.01);
+  EXPECT_NEAR(cluster.allocator().Reserved(cluster.now, kTenant), 9.6, 0.01);
+}
+
+TEST(QuotaLease, AFullReportOfSeveralFramesIsGrantedFromAtItsEnd) {
+  constexpr std::size_t kTenants = kMostEntries + 10;
+  std::vector<TenantQuota> tenants;
+  for (TenantId id = 1; id <= kTenants; ++id) tenants.push_back({id, kQuota});
+  Cluster cluster(1, tenants);
+  cluster.SetView(1);
+  for (std::size_t i = 0; i < kTenants; ++i) cluster.holder(1).SetDemand(cluster.now, i, 5);
+  cluster.Run(0.09);
+  EXPECT_TRUE(cluster.allocator().TakingOver(cluster.now, 1))
+      << "the rest comes a report gap later";
+  EXPECT_EQ(cluster.holder(1).counters().reports, 1u);
+  cluster.Run(1);
+  for (std::size_t i = 0; i < kTenants; ++i) {
+    ASSERT_NEAR(cluster.holder(1).Lease(cluster.now, i), 96, 0.2) << i;
+  }
+}
+
 TEST(QuotaLease, ADispatchersFormerLifeStaysReserved) {
   Cluster cluster(2);
   cluster.SetView(1);
