--- a/src/quota/allocator.h
+++ b/src/quota/allocator.h
@@ -20,11 +20,13 @@
 
 namespace millethollow::quota {
 
+// Events at an allocator since it started; `refused` by cause.
 struct AllocatorCounters {
   std::uint64_t reports = 0, grants = 0, takeovers = 0, lapses = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(Refusal::kCount)> refused{};
 };
 
+// The tenants that one member allocates.
 class Allocator {
  public:
   // `dispatchers`: every member of the cluster, in the view or not, that may hold leases; this one
--- a/src/quota/dispatcher.h
+++ b/src/quota/dispatcher.h
@@ -13,6 +13,7 @@
 
 namespace millethollow::quota {
 
+// A dispatcher as its allocator knows it.
 struct Dispatcher {
   static constexpr double kNever = std::numeric_limits<double>::infinity();
 
--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-Holder::Holder(NodeId self, Life life, std::size_t dispatchers, std::vector<TenantQuota> tenants,
-               const Timings& timings)
-    : self_(self), life_(life), dispatchers_(dispatchers), timings_(timings) {
+Holder::Holder(NodeId /*self*/, Life life, std::size_t dispatchers,
+               std::vector<TenantQuota> tenants, const Timings& timings)
+    : life_(life), dispatchers_(dispatchers), timings_(timings) {
   if (tenants.size() > kMostTenants) tenants.resize(kMostTenants);
   for (const TenantQuota& given : tenants) {
     Tenant tenant;
@@ -61,7 +61,6 @@
     if (allocator.id == 0) continue;
     Link& link = links_[allocator.id];
     link.active = true;
-    link.life = allocator.life;
     link.tenants.push_back(i);
   }
   for (auto& [id, link] : links_) {
@@ -235,17 +234,23 @@
   report.sequence = ++link.sequence;
   report.full = is_full && link.reported_tenants == 0;
   report.usages = TakeUsages(now, link);
-  const bool more = report.usages.size() == kMostEntries;
+  const bool is_filled = report.usages.size() == kMostEntries;
   if (report.full && link.full_begin == 0) link.full_begin = report.sequence;
-  if (is_full && !more) EndFullReport(link);
+  if (is_full && !is_filled) EndFullReport(link);
   link.sent.emplace_back(report.sequence, now);
   if (link.sent.size() > kMostSent) link.sent.pop_front();
   link.reported_at = now;
-  link.due_at = more ? now + timings_.report_gap_s : kNever;
+  link.due_at = is_filled || HasChanges(link) ? now + timings_.report_gap_s : kNever;
   actions->send.emplace_back(allocator, std::move(report));
   ++counters_.reports;
 }
 
+// A tenant may change after the full report under way has passed it.
+bool Holder::HasChanges(const Link& link) const {
+  return std::any_of(link.tenants.begin(), link.tenants.end(),
+                     [&](std::size_t i) { return tenants_[i].changed; });
+}
+
 void Holder::EndFullReport(Link& link) {
   if (link.full_end != 0) link.retry_s = std::min(2 * link.retry_s, timings_.renew_s);
   if (link.full_end == 0) link.full_end = link.sequence;
--- a/src/quota/holder.h
+++ b/src/quota/holder.h
@@ -15,11 +15,13 @@
 
 namespace millethollow::quota {
 
+// Events at a dispatcher since it started; `refused` by cause.
 struct HolderCounters {
   std::uint64_t reports = 0, grants = 0, expiries = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(Refusal::kCount)> refused{};
 };
 
+// The leases of one dispatcher.
 class Holder {
  public:
   // `life`: of this process. `dispatchers`: how many members of the cluster share each quota, this
@@ -63,7 +65,6 @@
   };
   static constexpr double kNever = std::numeric_limits<double>::infinity();
   struct Link {  // to one allocator
-    Life life = 0;
     std::uint64_t sequence = 0, heard_answer = 0;
     double reported_at = 0;
     double due_at = kNever;  // the next report, if it is due for news
@@ -90,11 +91,11 @@
   std::vector<Usage> TakeUsages(double now, Link& link);
   bool IsToTell(const Link& link, const Tenant& tenant) const;
   void SendReport(double now, NodeId allocator, Link& link, Actions* actions);
+  bool HasChanges(const Link& link) const;
   void EndFullReport(Link& link);
   double NextDue(const Link& link) const;
   bool NeedsRenewal(const Link& link) const;
 
-  NodeId self_;
   Life life_;
   std::size_t dispatchers_;
   Timings timings_;
