Frames of quota leases on the cluster link

Members report their demand and grant leases over the link that they have. A kind of its own (5), which an older build skips and counts; entries are bounded by quota::kMostEntries, whether their numbers make sense is for the mechanism to say.

--- /dev/null
+++ b/src/codec/quota.cpp
@@ -0,0 +1,165 @@
+#include "codec/quota.h"
+
+#include <utility>
+
+#include "codec/fields.h"
+
+namespace millethollow::codec {
+namespace {
+
+using quota::Assignment;
+using quota::Grant;
+using quota::Report;
+using quota::Usage;
+
+enum Kind : std::uint8_t { kReport = 1, kGrant = 2 };
+enum ReportField : std::uint8_t {
+  kReportEpoch = 1,
+  kReportSequence = 2,
+  kReportFull = 3,
+  kReportUsage = 4,
+};
+enum GrantField : std::uint8_t {
+  kGrantEpoch = 1,
+  kGrantAnswers = 2,
+  kGrantWantFull = 3,
+  kGrantSpan = 4,
+  kGrantAssignment = 5,
+  kGrantLife = 6,
+};
+
+// Entries are plain values in a row; a later build may append more to each.
+std::string EncodeEntry(const Usage& usage) {
+  Writer w;
+  w.Raw(usage.tenant);
+  w.Raw(usage.demand);
+  w.Raw(usage.held);
+  w.Raw(usage.left_s);
+  w.Raw(usage.grant);
+  return w.Take();
+}
+
+void DecodeEntry(Reader* r, Usage* usage) {
+  usage->tenant = r->Raw<std::uint64_t>();
+  usage->demand = r->Raw<double>();
+  usage->held = r->Raw<double>();
+  usage->left_s = r->Raw<double>();
+  usage->grant = r->Raw<std::uint64_t>();
+}
+
+std::string EncodeEntry(const Assignment& assignment) {
+  Writer w;
+  w.Raw(assignment.tenant);
+  w.Raw(assignment.rate);
+  w.Raw(assignment.grant);
+  return w.Take();
+}
+
+void DecodeEntry(Reader* r, Assignment* assignment) {
+  assignment->tenant = r->Raw<std::uint64_t>();
+  assignment->rate = r->Raw<double>();
+  assignment->grant = r->Raw<std::uint64_t>();
+}
+
+template <typename Entry>
+void AppendEntry(Reader* r, std::vector<Entry>* entries) {
+  if (entries->size() >= quota::kMostEntries) return r->Fail();
+  DecodeEntry(r, &entries->emplace_back());
+}
+
+void EncodeFields(const Report& report, Writer* w) {
+  w->Raw(std::uint8_t{kReport});
+  w->Number(kReportEpoch, report.epoch);
+  w->Number(kReportSequence, report.sequence);
+  w->Number(kReportFull, static_cast<std::uint8_t>(report.full));
+  for (const Usage& usage : report.usages) w->Nested(kReportUsage, EncodeEntry(usage));
+}
+
+void EncodeFields(const Grant& grant, Writer* w) {
+  w->Raw(std::uint8_t{kGrant});
+  w->Number(kGrantEpoch, grant.epoch);
+  w->Number(kGrantAnswers, grant.answers);
+  w->Number(kGrantWantFull, static_cast<std::uint8_t>(grant.want_full));
+  w->Number(kGrantSpan, grant.span_s);
+  w->Number(kGrantLife, grant.life);
+  for (const Assignment& a : grant.assignments) w->Nested(kGrantAssignment, EncodeEntry(a));
+}
+
+std::optional<quota::Message> DecodeReport(std::string_view fields) {
+  Report report;
+  Reader r(fields);
+  while (r.Next()) {
+    switch (r.field()) {
+      case kReportEpoch:
+        report.epoch = r.Raw<std::uint64_t>();
+        break;
+      case kReportSequence:
+        report.sequence = r.Raw<std::uint64_t>();
+        break;
+      case kReportFull:
+        report.full = r.Raw<std::uint8_t>() != 0;
+        break;
+      case kReportUsage:
+        AppendEntry(&r, &report.usages);
+        break;
+      default:
+        break;
+    }
+  }
+  if (!r.ok()) return std::nullopt;
+  return report;
+}
+
+std::optional<quota::Message> DecodeGrant(std::string_view fields) {
+  Grant grant;
+  Reader r(fields);
+  while (r.Next()) {
+    switch (r.field()) {
+      case kGrantEpoch:
+        grant.epoch = r.Raw<std::uint64_t>();
+        break;
+      case kGrantAnswers:
+        grant.answers = r.Raw<std::uint64_t>();
+        break;
+      case kGrantWantFull:
+        grant.want_full = r.Raw<std::uint8_t>() != 0;
+        break;
+      case kGrantSpan:
+        grant.span_s = r.Raw<double>();
+        break;
+      case kGrantAssignment:
+        AppendEntry(&r, &grant.assignments);
+        break;
+      case kGrantLife:
+        grant.life = r.Raw<std::uint64_t>();
+        break;
+      default:
+        break;
+    }
+  }
+  if (!r.ok()) return std::nullopt;
+  return grant;
+}
+
+}  // namespace
+
+std::string Encode(const quota::Message& message) {
+  Writer w;
+  std::visit([&w](const auto& m) { EncodeFields(m, &w); }, message);
+  return w.Take();
+}
+
+std::optional<quota::Message> DecodeQuota(std::string_view bytes) {
+  if (bytes.empty()) return std::nullopt;
+  const std::string_view fields = bytes.substr(1);
+  switch (static_cast<std::uint8_t>(bytes[0])) {
+    case kReport:
+      return DecodeReport(fields);
+    case kGrant:
+      return DecodeGrant(fields);
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace millethollow::codec
--- a/src/net/cluster/frame.cpp
+++ b/src/net/cluster/frame.cpp
@@ -6,11 +6,24 @@
 #include "codec/copies.h"
 #include "codec/fields.h"
 #include "codec/membership.h"
+#include "codec/quota.h"
 
 namespace millethollow::cluster {
 namespace {
 
-enum Kind : std::uint8_t { kProbe = 1, kMessage = 2, kFacts = 3, kCopies = 4 };
+enum Kind : std::uint8_t { kProbe = 1, kMessage = 2, kFacts = 3, kCopies = 4, kQuota = 5 };
+
+struct EncodedBody {
+  std::uint8_t kind = 0;
+  std::string fields;
+};
+
+EncodedBody EncodeBody(const membership::Frame& frame) {
+  constexpr Kind kKinds[] = {kProbe, kMessage, kFacts};  // as the variant has them
+  return {kKinds[frame.index()], std::visit([](const auto& f) { return codec::Encode(f); }, frame)};
+}
+EncodedBody EncodeBody(const copies::Frame& frame) { return {kCopies, codec::Encode(frame)}; }
+EncodedBody EncodeBody(const quota::Message& message) { return {kQuota, codec::Encode(message)}; }
 
 template <typename T>
 Fault Put(std::optional<T> read, Body* body) {
@@ -30,15 +43,7 @@
 }  // namespace
 
 std::string Encode(const Header& header, const Body& body) {
-  constexpr Kind kKinds[] = {kProbe, kMessage, kFacts};  // as the variant has them
-  std::uint8_t kind = kCopies;
-  std::string fields;
-  if (const auto* frame = std::get_if<membership::Frame>(&body)) {
-    kind = kKinds[frame->index()];
-    fields = std::visit([](const auto& f) { return codec::Encode(f); }, *frame);
-  } else {
-    fields = codec::Encode(std::get<copies::Frame>(body));
-  }
+  const auto [kind, fields] = std::visit([](const auto& b) { return EncodeBody(b); }, body);
   codec::Writer w;
   w.Bytes("mh");
   w.Raw(kVersion);
@@ -84,6 +89,8 @@
       return member(codec::DecodeFacts(fields));
     case kCopies:
       return Put(codec::DecodeCopies(fields), body);
+    case kQuota:
+      return Put(codec::DecodeQuota(fields), body);
     default:
       return Fault::kUnknownKind;
   }
--- a/src/net/cluster/frame.h
+++ b/src/net/cluster/frame.h
@@ -12,6 +12,7 @@
 
 #include "copies/records.h"
 #include "membership/cluster.h"
+#include "quota/types.h"
 
 namespace millethollow::cluster {
 
@@ -30,7 +31,7 @@
 enum class Fault : std::uint8_t { kNone, kShort, kGarbled, kOtherVersion, kUnknownKind };
 
 // All that members say to each other.
-using Body = std::variant<membership::Frame, copies::Frame>;
+using Body = std::variant<membership::Frame, copies::Frame, quota::Message>;
 
 std::string Encode(const Header& header, const Body& body);
 Fault Decode(std::string_view bytes, Header* header, Body* body);
