Section cluster.quota: allocators and times of quota leases

Off where it is absent. Times must fit each other: three renewals in a span, and a lowered quota in force within 9 s also where its allocator was lost. drift and act_s follow from the membership's timings, so that they can't contradict them.

--- a/src/config/cluster.cpp
+++ b/src/config/cluster.cpp
@@ -11,17 +11,66 @@
 
 using Json = nlohmann::json;
 constexpr std::size_t kMostMembers = 1024, kMostWord = 64;
-constexpr std::size_t kLeast = 2;  // copies of a promise where the file says nothing
+constexpr std::size_t kLeast = 2;     // copies of a promise where the file says nothing
+constexpr double kLeastRenewals = 3;  // of a quota lease in its span: two may be lost
+constexpr double kGrantOnItsWayS =
+    0.05;  // between the look at the membership lease and the sending
 
 bool Word(const std::string& text) {
   return !text.empty() && text.size() <= kMostWord &&
          std::none_of(text.begin(), text.end(), [](char c) { return c <= ' ' || c >= 0x7f; });
 }
 
+bool Refuse(const std::string& what, std::string* why) {
+  *why = "configuration: cluster: " + what;
+  return false;
+}
+
+bool CheckAllocators(const ClusterOptions& o, std::string* why) {
+  std::set<std::string> seen;
+  for (const std::string& id : o.quota.allocators) {
+    if (o.Find(id) == nullptr) {
+      return Refuse("'quota.allocators' names no member: '" + id + "'", why);
+    }
+    if (!seen.insert(id).second) {
+      return Refuse("'quota.allocators' names '" + id + "' twice", why);
+    }
+  }
+  return true;
+}
+
+bool CheckQuota(const ClusterOptions& o, std::string* why) {
+  if (!o.quota.on) return true;
+  if (!CheckAllocators(o, why)) return false;
+  const quota::Timings& t = o.quota.timings;
+  if (t.renew_s * kLeastRenewals > t.span_s) {
+    return Refuse("'quota.span_s' must be at least three times 'quota.renew_s'", why);
+  }
+  if (t.report_gap_s > t.renew_s) {
+    return Refuse("'quota.report_gap_s' must not be over 'quota.renew_s'", why);
+  }
+  if (LongestOldLease(t) + t.renew_s > kQuotaInForceS) {
+    return Refuse("'timings.lease_s' and 'quota.span_s' are too long for a quota in force in 9 s",
+                  why);
+  }
+  return true;
+}
+
+// What is derived and not told: the pace of clocks is one assumption for the whole cluster, and a
+// replaced allocator may grant until its membership lease is over by its own clock.
+void CompleteQuota(ClusterOptions* o) {
+  if (!o->quota.on) return;
+  quota::Timings& t = o->quota.timings;
+  t.drift = o->agreement.drift;
+  t.act_s = o->agreement.lease_s * (1 + 2 * t.drift) + kGrantOnItsWayS;
+  if (!o->quota.allocators.empty()) return;
+  for (const ClusterMember& m : o->members) {
+    if (m.voter) o->quota.allocators.push_back(m.id);
+  }
+}
+
 bool Check(const ClusterOptions& o, std::string* why) {
-  const auto wrong = [why](const std::string& what) {
-    return *why = "configuration: cluster: " + what, false;
-  };
+  const auto wrong = [why](const std::string& what) { return Refuse(what, why); };
   if (!Word(o.name)) return wrong("'name' must be one plain word");
   if (o.members.empty()) return wrong("no members");
   std::set<std::string> ids, addresses;
@@ -57,17 +106,36 @@
   const auto& d = o.detector;
   if (d.timeout_s >= d.probe_s) return wrong("'timeout_s' must be under 'probe_s'");
   if (d.suspect_s > d.suspect_most_s) return wrong("'suspect_s' must not be over 'suspect_most_s'");
-  return true;
+  return CheckQuota(o, why);
+}
+
+KeyReader QuotaKey(QuotaOptions* quota, std::string* why) {
+  return [quota, why](const Json& value, const std::string& path) {
+    const KeyReaders readers{
+        {"allocators", NamesKey(&quota->allocators, kMostMembers, why)},
+        {"span_s", NumberKey(&quota->timings.span_s, 0.3, 60, why)},
+        {"renew_s", NumberKey(&quota->timings.renew_s, 0.05, 20, why)},
+        {"report_gap_s", NumberKey(&quota->timings.report_gap_s, 0.01, 5, why)},
+        {"floor_part", NumberKey(&quota->timings.floor_part, 0, 0.5, why)},
+        {"hysteresis", NumberKey(&quota->timings.hysteresis, 0, 0.5, why)},
+    };
+    quota->on = true;
+    return ReadKeys(value, path, readers, why);
+  };
 }
 
 }  // namespace
 
-const ClusterMember* ClusterOptions::Self() const {
+const ClusterMember* ClusterOptions::Find(std::string_view id) const {
   const auto it = std::find_if(members.begin(), members.end(),
-                               [this](const ClusterMember& m) { return m.id == self; });
+                               [id](const ClusterMember& m) { return m.id == id; });
   return it == members.end() ? nullptr : &*it;
 }
 
+double LongestOldLease(const quota::Timings& timings) {
+  return timings.act_s + timings.span_s * (1 + 3 * timings.drift);
+}
+
 bool ReadCluster(std::string_view text, ClusterOptions* options, std::string* why) {
   const Json root = Json::parse(text, nullptr, false, true);
   if (!root.is_object()) return *why = "configuration: not a JSON object", false;
@@ -137,6 +205,7 @@
       {"copies_least", number(&least, 1, 8)},
       {"jobs", [&](const Json& value,
                    const std::string& path) { return ReadKeys(value, path, jobs, why); }},
+      {"quota", QuotaKey(&o.quota, why)},
       {"timings", [&](const Json& value,
                       const std::string& path) { return ReadKeys(value, path, timings, why); }},
   };
@@ -147,6 +216,7 @@
   o.jobs.jobs = static_cast<std::size_t>(most);
   o.jobs.bytes = static_cast<std::size_t>(bytes);
   o.jobs.running = static_cast<std::size_t>(running);
+  CompleteQuota(&o);
   if (!Check(o, why)) return false;
   if (o.copies_least == 0) o.copies_least = std::min({o.copies, o.members.size(), kLeast});
   if (o.listen.empty()) o.listen = o.Self()->address;
--- a/src/config/cluster.h
+++ b/src/config/cluster.h
@@ -10,6 +10,7 @@
 #include "copies/jobs.h"
 #include "membership/agreement.h"
 #include "membership/detector.h"
+#include "quota/types.h"
 
 namespace millethollow {
 
@@ -18,6 +19,13 @@
   bool voter = false;
 };
 
+// Quota leases: which members split the tenants' quotas, and how. Off where the file is silent.
+struct QuotaOptions {
+  bool on = false;
+  std::vector<std::string> allocators;  // ids of members; the voters where the file names none
+  quota::Timings timings;               // `drift` and `act_s` follow from those of the agreement
+};
+
 struct ClusterOptions {
   std::string name;  // empty: no cluster
   std::string self;
@@ -32,11 +40,18 @@
   // are as many members.
   std::size_t copies = 3, copies_least = 0;
   copies::Jobs::Limits jobs;  // promised ones that this member holds
+  QuotaOptions quota;
 
   bool on() const { return !name.empty(); }
-  const ClusterMember* Self() const;
+  const ClusterMember* Find(std::string_view id) const;  // null: there is none
+  const ClusterMember* Self() const { return Find(self); }
 };
 
+// Within this a change of a quota is in force at every member, also where its allocator was lost.
+constexpr double kQuotaInForceS = 9.0;
+// The longest time from when an allocator is replaced until all leases that it gave are over.
+double LongestOldLease(const quota::Timings& timings);
+
 // Reads the section from a file's text; where there is none, `options` stays as it is. False, with
 // one clear line, for a key that is not known, a value out of its range, or members that don't fit.
 bool ReadCluster(std::string_view text, ClusterOptions* options, std::string* why);
--- a/src/config/keys.h
+++ b/src/config/keys.h
@@ -2,11 +2,13 @@
 #ifndef MILLETHOLLOW_CONFIG_KEYS_H_
 #define MILLETHOLLOW_CONFIG_KEYS_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
+#include <vector>
 
 namespace millethollow {
 
@@ -45,6 +47,21 @@
   };
 }
 
+// A list of up to `most` texts, at least one.
+inline KeyReader NamesKey(std::vector<std::string>* out, std::size_t most, std::string* why) {
+  return [=](const nlohmann::json& value, const std::string& path) {
+    const auto is_text = [](const nlohmann::json& item) { return item.is_string(); };
+    if (!value.is_array() || value.empty() || value.size() > most ||
+        !std::all_of(value.begin(), value.end(), is_text)) {
+      *why =
+          "configuration: '" + path + "' is not a list of 1 to " + std::to_string(most) + " texts";
+      return false;
+    }
+    *out = value.get<std::vector<std::string>>();
+    return true;
+  };
+}
+
 inline KeyReader TextKey(std::string* out, std::string* why) {
   return [=](const nlohmann::json& value, const std::string& path) {
     if (!value.is_string()) return *why = "configuration: '" + path + "' is not a text", false;
