A tenant's given rate binds the decision module in place of its even part

Parts has rates by tenant (jobs a second, not shares, so that a changed quota leaves a lease as it is). They bind at once both ways, also a bucket that was unbounded until then. TenantDemand tells what came in by tenant.

--- a/include/decksail/balancer.h
+++ b/include/decksail/balancer.h
@@ -275,6 +275,10 @@
   int members = 0;          // how many have such a part by agreement; 0: this one is cut off
   std::uint64_t epoch = 0;  // of the agreement
   bool stopped = false;     // no event came for a second, as where the process was stopped
+  // By tenant: jobs per second of its quota that are this dispatcher's, where quotas are given out
+  // tenant by tenant; over all dispatchers never more than the quota in sum. Below 0, or left out:
+  // as `part` says.
+  std::vector<double> tenant_rates = {};
   bool operator==(const Parts&) const = default;
 };
 
@@ -300,6 +304,9 @@
   double DemandPart() const;  // this dispatcher's part of all demand, 0 to 1
   // Messages of peers that were taken for damaged, foreign or unwanted.
   std::uint64_t RefusedPeerMessages() const;
+  // By tenant: jobs per second that came in here lately, whether they were let in or not. A job
+  // that a client sends again after a refusal counts once.
+  std::vector<double> TenantDemand() const;
   // Where the tier agrees on parts: from now on. Never called, demand alone decides.
   void Agree(const Parts& parts);
   // What has been learned, for the process that replaces this one, which takes it before its first
--- a/src/agreed_part.h
+++ b/src/agreed_part.h
@@ -1,6 +1,6 @@
 // What a dispatcher may do of the whole where the tier agrees on parts (a cluster): its even part,
-// or by demand while all hear each other. Off, until a part is set, nothing is other than without
-// it.
+// or by demand while all hear each other; of a tenant's quota the rate that it was given, where it
+// was given one. Off, until a part is set, nothing is other than without it.
 #ifndef DECKSAIL_SRC_AGREED_PART_H_
 #define DECKSAIL_SRC_AGREED_PART_H_
 
@@ -43,8 +43,10 @@
       by_demand_ = false;
       changed_ = true;
     }
+    TakeTenantRates(parts.tenant_rates);
   }
-  // By how much a rate that was reckoned before the last Set is to fall: 0 to 1.
+  // By how much a rate that was reckoned before the last Set is to fall: 0 to 1. A tenant's rate
+  // that was given may also rise, by more than 1: whoever gives them keeps their sum.
   double Fall(std::size_t i) const { return i < falls_.size() ? falls_[i] : 1; }
   std::uint8_t view() const { return view_; }  // for the reports; 0: cut off
 
@@ -72,6 +74,22 @@
     return fleet;
   }
 
+  // Of `own` jobs per second of a tenant the share that its given rate lets in; 1 where there is
+  // none.
+  double Given(std::size_t i, double own) const {
+    return HasRate(tenant_rates_, i) && own > tenant_rates_[i] ? tenant_rates_[i] / own : 1;
+  }
+  // Puts into `fleet`, for each tenant with a rate that was given, the rate of the whole tier that
+  // makes `own` just that part of it.
+  void ApplyTenantRates(const std::vector<double>& own, const std::vector<TenantSettings>& tenants,
+                        std::vector<double>* fleet) const {
+    for (std::size_t i = 0; i < tenants.size(); ++i) {
+      if (!HasRate(tenant_rates_, i) || tenants[i].quota_rps <= 0) continue;
+      const double share = std::min(1.0, tenant_rates_[i] / tenants[i].quota_rps);
+      (*fleet)[i] = own[i] / std::max(share, kLeast);
+    }
+  }
+
   // What a warm worker carries of this dispatcher's sends: `mine` by its own count, `all` by that
   // of all that are heard. Cut off, not more than its share of what all had there before.
   double Carried(double mine, double all, std::size_t sends) {
@@ -86,11 +104,25 @@
 
  private:
   static constexpr double kLeast = 1e-6, kFade = 0.99;
+  static bool HasRate(const std::vector<double>& rates, std::size_t i) {
+    return i < rates.size() && rates[i] >= 0;
+  }
+  void TakeTenantRates(const std::vector<double>& rates) {
+    if (falls_.size() < rates.size()) falls_.resize(rates.size(), 1.0);
+    for (std::size_t i = 0; i < rates.size(); ++i) {
+      if (!HasRate(rates, i)) continue;
+      const double before = HasRate(tenant_rates_, i) ? tenant_rates_[i] : rates[i];
+      falls_[i] = before > 0 ? rates[i] / before : 1;
+    }
+    tenant_rates_ = rates;
+  }
+
   double part_ = -1, reckoned_ = -1, changed_at_ = -1e18, carried_ = 0;
   int members_ = 0;
   std::uint8_t view_ = 0;
   bool hears_all_ = false, by_demand_ = false, changed_ = false;
   std::vector<double> shares_, falls_;  // by rate, as last reckoned
+  std::vector<double> tenant_rates_;    // as given; below 0: none
 };
 
 }  // namespace decksail
--- a/src/bookkeeping.cpp
+++ b/src/bookkeeping.cpp
@@ -208,7 +208,11 @@
   if (!agreed_.on()) {
     return direct_ ? peers_.Fleet(own_, s_.ordinal, since) : Times(mean_, s_.dispatchers);
   }
-  if (!direct_) return Times(mean_, 1 / std::max(agreed_.part(), 1e-6));
+  if (!direct_) {
+    std::vector<double> fleet = Times(mean_, 1 / std::max(agreed_.part(), 1e-6));
+    agreed_.ApplyTenantRates(own_, s_.tenants, &fleet);
+    return fleet;
+  }
   std::vector<double> all = own_;
   int heard = 0;
   bool others_hear = true;
@@ -221,7 +225,10 @@
     for (std::size_t i = 0; i < all.size(); ++i) all[i] += peer.values[i];
   }
   all_sends_ = all[Idx(tenants_)];
-  return agreed_.Fleet(now_, (kStaleReports + 2) * interval_, own_, all, heard, others_hear);
+  std::vector<double> fleet =
+      agreed_.Fleet(now_, (kStaleReports + 2) * interval_, own_, all, heard, others_hear);
+  agreed_.ApplyTenantRates(own_, s_.tenants, &fleet);
+  return fleet;
 }
 
 double Brain::Carried(double mine) {
@@ -231,7 +238,16 @@
 void Brain::Agree(const Parts& parts) {
   agreed_.Set(parts);
   for (std::size_t b = 0; b < buckets_.size(); ++b) {
-    if (buckets_[b].rate != kInf) buckets_[b].rate *= agreed_.Fall(b % Idx(tenants_));
+    Bucket& bucket = buckets_[b];
+    const std::size_t tenant = b % Idx(tenants_);
+    const double given = agreed_.Given(tenant, own_[tenant]);
+    if (bucket.rate != kInf) {
+      bucket.rate *= agreed_.Fall(tenant);
+    } else if (rate_ != kInf && agreed_.Fall(tenant) < 1 && given < 1) {
+      // There was enough for all until now.
+      bucket.share = given;
+      bucket.rate = bucket.demand * given;
+    }
   }
 }
 
@@ -253,6 +269,8 @@
   return views;
 }
 
+std::vector<double> Brain::TenantDemand() const { return {own_.begin(), own_.begin() + tenants_}; }
+
 double Brain::DemandPart() const {
   const auto sum = [this](const std::vector<double>& rates) {
     return std::accumulate(rates.begin(), rates.begin() + tenants_, 0.0);
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -98,6 +98,8 @@
 
   std::size_t open_requests() const { return ledger_.size(); }
   const scheduling::Desk& desk() const { return balancer_; }
+  // By tenant: requests per second that came in lately, whether they were let in or not.
+  std::vector<double> TenantDemand() const { return balancer_.TenantDemand(); }
   const std::string& class_name(int cls) const {
     return class_names_[static_cast<std::size_t>(cls)];
   }
