QuotaKeeper carries quota leases between decisions, links, clock and view

Holder at each member, Allocator where the section names it. First view only once it has this very process; grants only while the view has it and its membership lease holds by a clock read now. Figures app.cluster.quota.*, a row in /members, a line in the log for each view that moves tenants here.

--- a/src/net/cluster/member.cpp
+++ b/src/net/cluster/member.cpp
@@ -59,9 +59,11 @@
   return true;
 }
 
-Member::Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed, Hooks hooks)
+Member::Member(Loop* loop, const ClusterOptions& options, std::vector<NamedQuota> tenants,
+               std::uint64_t seed, Hooks hooks)
     : loop_(loop),
       options_(options),
+      tenants_(std::move(tenants)),
       hooks_(std::move(hooks)),
       seed_(seed),
       hash_(codec::Hash(options.name)),
@@ -73,6 +75,7 @@
 Member::~Member() {
   loop_->deadlines().Drop(&tick_);
   for (auto& [number, waiting] : waiting_) loop_->deadlines().Drop(&waiting.limit);
+  quota_.reset();
   copies_.reset();
   keeper_.reset();
   store_.reset();
@@ -107,6 +110,7 @@
     }
     if (const auto address = ParseAddress(m.address)) transport_.SetPeer(id, *address);
   }
+  if (options_.quota.on && !QuotaKeeper::Check(tenants_, why)) return false;
   membership::Votes votes;
   if (!options_.store.empty()) {
     if (!mail_.Open(loop_, why)) return false;
@@ -137,6 +141,7 @@
   Events().info("cluster start name={} self={} life={:x} members={}", options_.name, options_.self,
                 life_, options_.members.size());
   if (store_) StartCopies();
+  if (options_.quota.on) StartQuota();
   Arm();
   return true;
 }
@@ -164,6 +169,30 @@
   copies_->Start();
 }
 
+void Member::StartQuota() {
+  QuotaKeeper::Options o{.self = self_,
+                         .life = life_,
+                         .members = {},
+                         .allocators = {},
+                         .tenants = tenants_,
+                         .timings = options_.quota.timings};
+  for (const ClusterMember& m : options_.members) o.members.push_back(codec::Hash(m.id));
+  for (const std::string& id : options_.quota.allocators) o.allocators.push_back(codec::Hash(id));
+  quota_ = std::make_unique<QuotaKeeper>(
+      loop_, std::move(o),
+      QuotaKeeper::Hooks{
+          .now = [] { return Now(); },
+          .view = [this]() -> const membership::View& { return cluster_->agreement().view(); },
+          .leased = [this] { return Leased(); },
+          .send = [this](NodeId to, const quota::Message& message) { Send(to, message); },
+          .demand = hooks_.tenant_demand});
+  quota_->Start();
+}
+
+void Member::SetQuotas(const std::vector<double>& quotas) {
+  if (quota_) quota_->SetQuotas(quotas);
+}
+
 void Member::Send(NodeId to, const Body& body) {
   const bool ordered = std::holds_alternative<copies::Frame>(body);
   transport_.Send(to, Encode({hash_, self_, life_, ++numbers_[to]}, body), ordered);
@@ -222,6 +251,12 @@
     }
     return;
   }
+  if (const auto* message = std::get_if<quota::Message>(&body)) {
+    if (quota_ && cluster_->Hears(Now(), header.from, header.life)) {
+      quota_->Hear(header.from, header.life, *message);
+    }
+    return;
+  }
   membership::Cluster::Actions actions;
   cluster_->Hear(Now(), header.from, header.life, std::get<membership::Frame>(body), &actions);
   if (actions.answer && source != nullptr) {
@@ -300,6 +335,7 @@
     Events().info("cluster lease={} epoch={}", leased ? "held" : "lost", view.epoch);
   }
   if (copies_ && actions->new_view) copies_->Look();
+  if (quota_ && actions->new_view) quota_->Look();
   Arm();
 }
 
@@ -363,7 +399,9 @@
   const double now = Now();
   const membership::Agreement& a = cluster_->agreement();
   const int members = a.Leased(now) ? static_cast<int>(a.view().members.size()) : 0;
-  return {.part = cluster_->Part(now), .members = members, .epoch = a.view().epoch};
+  decksail::Parts parts{.part = cluster_->Part(now), .members = members, .epoch = a.view().epoch};
+  if (quota_) parts.tenant_rates = quota_->Rates();
+  return parts;
 }
 
 std::string Member::Figures() const {
@@ -420,6 +458,7 @@
       }
     }
   }
+  if (quota_) quota_->PrintFigures(&out);
   count("refused.garbled", refusals_.garbled);
   count("refused.other_cluster", refusals_.other_cluster);
   count("refused.strangers", refusals_.strangers);
@@ -474,6 +513,10 @@
              {"workers_out", cluster_->facts().AllOut()},
              {"members", std::move(members)},
              {"logs", std::move(logs)}};
+  if (quota_) {
+    const QuotaKeeper::Allocation allocation = quota_->Allocated();
+    whole["quota"] = {{"allocates", allocation.tenants}, {"taking_over", allocation.taking_over}};
+  }
   if (options_.Self()->voter) whole["vote"] = NameOfState(a.voter().state());
   return whole.dump() + "\n";
 }
--- a/src/net/cluster/member.h
+++ b/src/net/cluster/member.h
@@ -19,6 +19,7 @@
 #include "net/cluster/fact_keeper.h"
 #include "net/cluster/frame.h"
 #include "net/cluster/kept_store.h"
+#include "net/cluster/quota_keeper.h"
 #include "net/cluster/transport.h"
 #include "net/loop.h"
 #include "store/vote_file.h"
@@ -37,13 +38,17 @@
   struct Hooks {
     std::function<void(const std::string& worker, bool out)> maintain;
     std::function<void(const std::string& worker, double born_s, bool gone)> down;
+    // By tenant, where quotas are leased: jobs per second that came in lately.
+    std::function<std::vector<double>()> tenant_demand = {};
   };
   // Of Say: whether another member has it now, and this one's disk where there is a store. False
   // comes when nobody is there, or after kHeardS.
   using Heard = std::function<void(bool elsewhere)>;
   static constexpr double kHeardS = 0.7;  // a caller at the admin address waits 1 s
 
-  Member(Loop* loop, const ClusterOptions& options, std::uint64_t seed, Hooks hooks);
+  // `tenants`: with their quotas, in the order of all that goes by tenant.
+  Member(Loop* loop, const ClusterOptions& options, std::vector<NamedQuota> tenants,
+         std::uint64_t seed, Hooks hooks);
   ~Member();
   Member(const Member&) = delete;
   Member& operator=(const Member&) = delete;
@@ -59,6 +64,9 @@
   // Does it know what the others know, or that nobody is there?
   bool Synced() const { return cluster_->facts().synced(); }
 
+  // Other quotas of the same tenants.
+  void SetQuotas(const std::vector<double>& quotas);
+
   // With a clock read now, so that a stop that nobody noticed counts.
   bool Leased() const;
   double LeaseLeft() const;       // seconds
@@ -87,6 +95,7 @@
   };
   bool OpenStore(std::uint64_t new_disk, std::string* why);
   void StartCopies();
+  void StartQuota();
   void Send(membership::NodeId to, const Body& body);
   void Receive(std::string_view bytes, const sockaddr_in* source);
   void Answer(std::uint64_t number);
@@ -100,6 +109,7 @@
 
   Loop* loop_;
   ClusterOptions options_;
+  std::vector<NamedQuota> tenants_;
   Hooks hooks_;
   std::uint64_t seed_, hash_, draws_ = 0;
   membership::NodeId self_;
@@ -118,6 +128,7 @@
   std::unique_ptr<KeptStore> store_;
   std::unique_ptr<FactKeeper> keeper_;
   std::unique_ptr<CopyKeeper> copies_;
+  std::unique_ptr<QuotaKeeper> quota_;  // null: quotas are not leased
 };
 
 }  // namespace millethollow::cluster
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -129,8 +129,9 @@
   hooks.down = [this](const std::string& worker, double born_s, bool gone) {
     planner_->HeardDown(worker, born_s, gone);
   };
-  member_ = std::make_unique<cluster::Member>(&loop_, config_.cluster, std::random_device{}(),
-                                              std::move(hooks));
+  hooks.tenant_demand = [this] { return planner_->TenantDemand(); };
+  member_ = std::make_unique<cluster::Member>(&loop_, config_.cluster, TenantQuotas(),
+                                              std::random_device{}(), std::move(hooks));
   if (!member_->Start(why)) return false;
   if (member_->copies() != nullptr) {
     copies::Jobs::Limits limits = config_.cluster.jobs;
@@ -146,6 +147,15 @@
   return true;
 }
 
+std::vector<cluster::NamedQuota> Node::TenantQuotas() const {
+  std::vector<cluster::NamedQuota> quotas;
+  for (std::size_t t = 0; t < config_.tenants.size(); ++t) {
+    const bool told = t < config_.settings.tenants.size();
+    quotas.push_back({config_.tenants[t], told ? config_.settings.tenants[t].quota_rps : 0.0});
+  }
+  return quotas;
+}
+
 // What the others hold out is out here before the first request; where nobody answers, it is
 // served.
 void Node::ServeOnceSynced(double until) {
@@ -380,6 +390,11 @@
   const Config before = std::exchange(config_, std::move(fresh));
   LogLevel() = LevelOf(config_.log_level);
   LogLine(Level::kInfo) << "configuration read again";
+  if (member_) {
+    std::vector<double> quotas;
+    for (const cluster::NamedQuota& tenant : TenantQuotas()) quotas.push_back(tenant.quota);
+    member_->SetQuotas(quotas);
+  }
   if (planner_) {
     planner_->Configure(config_.scheduling);
     planner_->Configure(config_.settings, config_.classes, config_.live, changes.begun);
--- a/src/node.h
+++ b/src/node.h
@@ -68,6 +68,7 @@
   void ServeOnceSynced(double until);
   void TakeOnceListed();
   void LeaveOnceIdle(double until);
+  std::vector<cluster::NamedQuota> TenantQuotas() const;
   http::Names NamesNow() const;
 
   Config config_;
