--- a/tests/cluster/rig.cpp
+++ b/tests/cluster/rig.cpp
@@ -251,6 +251,7 @@
   config["admin"] = At(node.admin);
   config["log_level"] = "info";
   config.erase("seed");
+  config["settings"].merge_patch(nlohmann::json::parse(options_.settings));
   config["cluster"] = {{"name", "roast"},
                        {"self", Name(i)},
                        {"listen", At(node.cluster)},
--- a/tests/cluster/rig.h
+++ b/tests/cluster/rig.h
@@ -51,6 +51,7 @@
     std::string more = {};       // further top-level keys, each with a comma after it
     bool gearman = false;        // each node has that front, with the functions look and charge
     std::string cluster = "{}";  // further keys of the section
+    std::string settings = "{}";  // merged into the section `settings`
   };
   struct Polled {
     double at = -1;
