--- /dev/null
+++ b/tests/quota_demand.h
@@ -0,0 +1,112 @@
+// Demand in the world of quota leases: forms of it, and how much of a quota is in use.
+#ifndef MILLETHOLLOW_TESTS_QUOTA_DEMAND_H_
+#define MILLETHOLLOW_TESTS_QUOTA_DEMAND_H_
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "quota_world.h"
+
+namespace millethollow::quota {
+
+// Demand of one tenant at each dispatcher: at none, one, a region, all alike or all by chance.
+inline std::vector<double> PickDemand(Random* random, std::size_t dispatchers, std::size_t regions,
+                                      double quota) {
+  constexpr double kMostOfQuota = 3;
+  std::vector<double> weights(dispatchers, 0);
+  const std::size_t form = random->Below(8), one = random->Below(dispatchers);
+  for (std::size_t i = 0; i < dispatchers; ++i) {
+    switch (form) {
+      case 0:
+        break;
+      case 1:
+      case 2:
+        weights[i] = i == one;
+        break;
+      case 3:
+      case 4:
+        weights[i] = i % regions == one % regions;
+        break;
+      case 5:
+        weights[i] = 1;
+        break;
+      default:
+        weights[i] = random->Unit();
+    }
+  }
+  double sum = 0;
+  for (const double weight : weights) sum += weight;
+  if (sum <= 0) return weights;
+  const double total = kMostOfQuota * quota * random->Unit();
+  for (double& weight : weights) weight *= total / sum;
+  return weights;
+}
+
+inline void SetDemandOf(QuotaWorld* world, std::size_t tenant, const std::vector<double>& demand) {
+  for (std::size_t i = 0; i < demand.size(); ++i) {
+    if (demand[i] != world->demand(i, tenant)) world->SetDemand(i, tenant, demand[i]);
+  }
+}
+
+// Jobs per second of a tenant that are admitted, and that could be: its demand, or all of its quota
+// but the floors of dispatchers that have no use for them.
+struct Use {
+  double admitted = 0, possible = 0;
+  bool Full() const {
+    constexpr double kFullPart = 0.95;
+    return admitted >= kFullPart * possible;
+  }
+};
+
+inline Use UseOf(const QuotaWorld& world, std::size_t tenant) {
+  const double floors = world.options().timings.floor_part * world.quota(tenant);
+  const double floor = floors / static_cast<double>(world.size());
+  Use use;
+  double demand = 0, usable_floors = 0;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    const double wanted = world.demand(i, tenant);
+    demand += wanted;
+    usable_floors += std::min(wanted, floor);
+    use.admitted += std::min(wanted, world.RateOf(i, tenant));
+  }
+  use.possible = std::min(demand, world.quota(tenant) - floors + usable_floors);
+  return use;
+}
+
+// The first tenant of whose quota too little is in use; empty: there is none.
+inline std::string FirstUnused(const QuotaWorld& world) {
+  for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+    const Use use = UseOf(world, tenant);
+    if (use.Full()) continue;
+    return "at " + std::to_string(world.now()) + " s tenant " + std::to_string(tenant) + " has " +
+           std::to_string(use.admitted) + " of " + std::to_string(use.possible);
+  }
+  return "";
+}
+
+// The longest until all of a quota is in use after the last fault, from when everyone is well and
+// knows the view: an allocator before may have granted for act_s, its leases last their span, and a
+// dispatcher learns what is free with a renewal.
+inline double FullUseAgainSeconds(const Timings& timings) {
+  return (timings.act_s + timings.span_s) * (1 + 4 * timings.drift) + 2 * timings.renew_s;
+}
+
+// Messages that were refused by the processes that are there.
+inline std::uint64_t RefusedEverywhere(const QuotaWorld& world) {
+  std::uint64_t refused = 0;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    const QuotaWorld::Process& process = world.process(i);
+    if (process.holder) {
+      for (const std::uint64_t count : process.holder->counters().refused) refused += count;
+    }
+    if (process.allocator) {
+      for (const std::uint64_t count : process.allocator->counters().refused) refused += count;
+    }
+  }
+  return refused;
+}
+
+}  // namespace millethollow::quota
+
+#endif  // MILLETHOLLOW_TESTS_QUOTA_DEMAND_H_
--- /dev/null
+++ b/tests/quota_quiet_test.cpp
@@ -0,0 +1,237 @@
+// Quota leases without faults: how fast demand is followed, that equal demand doesn't make grants
+// swing, and that a dispatcher's messages don't grow with the cluster.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "quota_demand.h"
+#include "quota_world.h"
+
+namespace millethollow::quota {
+namespace {
+
+constexpr double kWarmUpSeconds = 12;  // beyond the first takeover, whatever it waits for
+
+WorldOptions Quiet(std::size_t dispatchers, std::size_t allocators, std::size_t tenants) {
+  WorldOptions options;
+  options.dispatchers = dispatchers;
+  options.allocators = allocators;
+  options.tenants = tenants;
+  return options;
+}
+
+void Begin(QuotaWorld* world) {
+  world->StartAll();
+  world->ProposeWholeView(0.5);
+  world->RunUntil(kWarmUpSeconds);
+}
+
+// All of the tenant's demand in one region, `part` of its quota.
+void DemandIn(QuotaWorld* world, std::size_t tenant, std::size_t region, double part) {
+  std::vector<double> demand(world->size(), 0);
+  double there = 0;
+  for (std::size_t i = 0; i < demand.size(); ++i) there += world->process(i).region == region;
+  for (std::size_t i = 0; i < demand.size(); ++i) {
+    if (world->process(i).region == region) demand[i] = part * world->quota(tenant) / there;
+  }
+  SetDemandOf(world, tenant, demand);
+}
+
+void DemandEverywhere(QuotaWorld* world, double part) {
+  const double dispatchers = static_cast<double>(world->size());
+  for (std::size_t tenant = 0; tenant < world->tenants(); ++tenant) {
+    const double each = part * world->quota(tenant) / dispatchers;
+    SetDemandOf(world, tenant, std::vector<double>(world->size(), each));
+  }
+}
+
+TEST(QuotaQuiet, DemandThatMovesToAnotherRegionIsServedWithinFiveSeconds) {
+  constexpr double kMostSeconds = 5, kStepSeconds = 0.05;
+  double slowest_s = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    for (const double part : {0.5, 0.9, 2.0}) {
+      QuotaWorld world(seed, Quiet(20 + seed, 5, 6));
+      Begin(&world);
+      for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+        DemandIn(&world, tenant, 0, part);
+      }
+      world.RunUntil(world.now() + kWarmUpSeconds);
+      ASSERT_EQ(FirstUnused(world), "") << "seed " << seed << " part " << part;
+      for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+        DemandIn(&world, tenant, 1, part);
+      }
+      const double moved_at = world.now();
+      world.RunUntil(moved_at + kStepSeconds);
+      while (FirstUnused(world) != "" && world.now() < moved_at + kMostSeconds) {
+        world.RunUntil(world.now() + kStepSeconds);
+      }
+      ASSERT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
+      ASSERT_EQ(FirstUnused(world), "") << "seed " << seed << " part " << part;
+      slowest_s = std::max(slowest_s, world.now() - moved_at);
+    }
+  }
+  std::printf("slowest: 0.95 of use %.2f s after the move\n", slowest_s);
+}
+
+// Demand that differs by some hundredths from one moment to the next is equal demand.
+TEST(QuotaQuiet, EqualDemandDoesNotMakeGrantsSwing) {
+  constexpr double kNoise = 0.03, kMinuteSeconds = 60, kStepSeconds = 0.1;
+  constexpr std::uint64_t kMostChangesAMinute = 4;
+  for (const double part : {0.4, 1.0, 2.5}) {
+    QuotaWorld world(3, Quiet(20, 5, 6));
+    Begin(&world);
+    DemandEverywhere(&world, part);
+    world.RunUntil(world.now() + kWarmUpSeconds);
+    std::map<std::pair<std::size_t, std::size_t>, double> rates;
+    std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> changes;
+    world.on_grant = [&](std::size_t i) {
+      for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+        const auto [rate, fresh] = rates.try_emplace({i, tenant}, world.RateOf(i, tenant));
+        if (!fresh && rate->second != world.RateOf(i, tenant)) changes[{i, tenant}] += 1;
+        rate->second = world.RateOf(i, tenant);
+      }
+    };
+    const double until = world.now() + kMinuteSeconds;
+    while (world.now() < until) {
+      for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+        const double each = part * world.quota(tenant) / static_cast<double>(world.size());
+        for (std::size_t i = 0; i < world.size(); ++i) {
+          const double noise = kNoise * (2 * world.random().Unit() - 1);
+          world.SetDemand(i, tenant, each * (1 + noise));
+        }
+      }
+      world.RunUntil(world.now() + kStepSeconds);
+    }
+    std::uint64_t most = 0;
+    for (const auto& [share, count] : changes) most = std::max(most, count);
+    std::printf("demand %.1f of the quota: at most %lu changes of one rate in a minute\n", part,
+                most);
+    EXPECT_LE(most, kMostChangesAMinute) << part;
+    EXPECT_EQ(world.broken(), std::vector<std::string>{});
+    EXPECT_EQ(FirstUnused(world), "");
+  }
+}
+
+struct Rates {  // a second, the largest of all processes
+  double reports = 0, grants = 0, ticks = 0;
+};
+
+// A steady minute, or one in which each tenant's demand moves every other second.
+Rates MeasureMinute(std::size_t dispatchers, bool moving) {
+  constexpr double kMinuteSeconds = 60, kStepSeconds = 2;
+  QuotaWorld world(1, Quiet(dispatchers, 5, 20));
+  Begin(&world);
+  DemandEverywhere(&world, 1.5);
+  world.RunUntil(world.now() + kWarmUpSeconds);
+  std::vector<Rates> before;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    const QuotaWorld::Process& process = world.process(i);
+    before.push_back({static_cast<double>(process.reports.messages),
+                      static_cast<double>(process.grants.messages),
+                      static_cast<double>(process.ticks)});
+  }
+  for (double s = 0; s < kMinuteSeconds; s += kStepSeconds) {
+    for (std::size_t tenant = 0; moving && tenant < world.tenants(); ++tenant) {
+      DemandIn(&world, tenant, world.random().Below(world.options().regions), 1.5);
+    }
+    world.RunUntil(world.now() + kStepSeconds);
+  }
+  Rates most;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    const QuotaWorld::Process& process = world.process(i);
+    const auto a_second = [&](std::uint64_t after, double was) {
+      return (static_cast<double>(after) - was) / kMinuteSeconds;
+    };
+    most.reports = std::max(most.reports, a_second(process.reports.messages, before[i].reports));
+    most.grants = std::max(most.grants, a_second(process.grants.messages, before[i].grants));
+    most.ticks = std::max(most.ticks, a_second(process.ticks, before[i].ticks));
+  }
+  EXPECT_EQ(world.broken(), std::vector<std::string>{});
+  return most;
+}
+
+TEST(QuotaQuiet, ADispatchersMessagesDoNotGrowWithDispatchers) {
+  constexpr double kAllocators = 5, kMoreThanNeeded = 1.3;
+  const Timings timings;
+  for (const bool moving : {false, true}) {
+    const Rates few = MeasureMinute(15, moving), many = MeasureMinute(120, moving);
+    std::printf("%s: reports of a dispatcher %.2f and %.2f a second, turns %.1f and %.1f\n",
+                moving ? "moving" : "steady", few.reports, many.reports, few.ticks, many.ticks);
+    EXPECT_LE(many.reports, 1.15 * few.reports);
+    EXPECT_LE(many.reports, kAllocators / timings.report_gap_s);
+    if (!moving) {
+      EXPECT_LE(many.reports, kMoreThanNeeded * kAllocators / timings.renew_s);
+    }
+    // An allocator answers each report, and tells changes in between: no more for each dispatcher
+    // in a large cluster than in a small one.
+    EXPECT_LE(many.grants / 120, 1.15 * few.grants / 15);
+  }
+}
+
+// A timer that is always due would take a processor.
+TEST(QuotaQuiet, TimersAreIdleWhileNothingIsDue) {
+  constexpr double kMostTurnsASecond = 60;
+  const Rates steady = MeasureMinute(15, false);
+  EXPECT_LE(steady.ticks, kMostTurnsASecond);
+}
+
+// From when the view without the allocator is known everywhere.
+double SecondsUntilFullUse(QuotaWorld* world, double most_s) {
+  constexpr double kStepSeconds = 0.05;
+  const double begin = world->now();
+  while (FirstUnused(*world) != "" && world->now() < begin + most_s) {
+    world->RunUntil(world->now() + kStepSeconds);
+  }
+  return world->now() - begin;
+}
+
+TEST(QuotaQuiet, AfterTheLossOfAnAllocatorAllOfTheQuotaIsInUseAgainInTime) {
+  constexpr double kDetectionSeconds = 2, kViewSeconds = 0.5;
+  for (const bool killed : {false, true}) {
+    double slowest_s = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      QuotaWorld world(seed, Quiet(15, 5, 20));
+      Begin(&world);
+      DemandEverywhere(&world, 1.5);
+      world.RunUntil(world.now() + kWarmUpSeconds);
+      if (killed) {
+        world.Kill(0);
+        world.RunUntil(world.now() + kDetectionSeconds);
+      }
+      // The demand that came to it comes to others.
+      for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+        world.SetDemand(0, tenant, 0);
+      }
+      world.ProposeView([](std::size_t i) { return i > 0; }, [](std::size_t) { return true; },
+                        kViewSeconds);
+      world.RunUntil(world.now() + kViewSeconds);
+      const Timings& timings = world.options().timings;
+      const double most_s = FullUseAgainSeconds(timings);
+      slowest_s = std::max(slowest_s, SecondsUntilFullUse(&world, most_s));
+      EXPECT_EQ(FirstUnused(world), "") << "seed " << seed;
+      EXPECT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
+    }
+    std::printf("allocator %s: 0.95 of use %.2f s after the view was known\n",
+                killed ? "killed" : "out of the view", slowest_s);
+  }
+}
+
+TEST(QuotaQuiet, ADispatcherThatIsNeverHeardCostsOnlyTheTakeover) {
+  QuotaWorld world(5, Quiet(12, 3, 6));
+  world.StartAll();
+  world.Kill(11);
+  world.ProposeWholeView(0.2);
+  for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) DemandIn(&world, tenant, 0, 2);
+  world.RunUntil(world.now() + 1);
+  const Timings& timings = world.options().timings;
+  // Until then what the silent one may hold is reserved: only floors are in use.
+  for (std::size_t tenant = 0; tenant < world.tenants(); ++tenant) {
+    EXPECT_LE(UseOf(world, tenant).admitted, timings.floor_part * world.quota(tenant) + 1e-6);
+  }
+  world.RunUntil(world.now() + timings.act_s + timings.span_s + 2 * timings.renew_s);
+  EXPECT_EQ(FirstUnused(world), "");
+  EXPECT_EQ(world.broken(), std::vector<std::string>{});
+}
+
+}  // namespace
+}  // namespace millethollow::quota
