--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -159,10 +159,10 @@
   }
 
   // A new view with these processes as members, in the lives that they have now; `allocates` tells
-  // which of the allocators among them allocate. One process knows it at once, the others learn it
-  // within `slowest_s`, or when they go on.
-  template <typename Member, typename Allocates>
-  void ProposeView(Member member, Allocates allocates, double slowest_s) {
+  // which of the allocators among them allocate. A process learns it `delay_of` it later, or when
+  // it goes on.
+  template <typename Member, typename Allocates, typename DelayOf>
+  void ProposeViewKnownAfter(Member member, Allocates allocates, DelayOf delay_of) {
     AllocatorView view{.epoch = views_.size(), .allocators = {}};
     std::vector<Life> lives(size(), 0);
     for (std::size_t i = 0; i < size(); ++i) {
@@ -172,12 +172,18 @@
       view.allocators.push_back({processes_[i].id, processes_[i].life});
     }
     views_.push_back({std::move(view), std::move(lives), now_});
-    const std::size_t first = random_.Below(size());
     for (std::size_t i = 0; i < size(); ++i) {
-      const double delay = i == first ? 0 : slowest_s * std::pow(random_.Unit(), 3);
-      At(now_ + delay, i, [this, i, epoch = views_.size() - 1] { LearnView(i, epoch); });
+      At(now_ + delay_of(i), i, [this, i, epoch = views_.size() - 1] { LearnView(i, epoch); });
     }
   }
+  // One process knows it at once, the others learn it within `slowest_s`.
+  template <typename Member, typename Allocates>
+  void ProposeView(Member member, Allocates allocates, double slowest_s) {
+    const std::size_t first = random_.Below(size());
+    ProposeViewKnownAfter(member, allocates, [&](std::size_t i) {
+      return i == first ? 0 : slowest_s * std::pow(random_.Unit(), 3);
+    });
+  }
   // All that are there, known everywhere within `slowest_s`.
   void ProposeWholeView(double slowest_s) {
     const auto everyone = [](std::size_t) { return true; };
