--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -10,7 +10,6 @@
 #include <memory>
 #include <optional>
 #include <queue>
-#include <set>
 #include <string>
 #include <vector>
 
