--- a/Makefile
+++ b/Makefile
@@ -53,10 +53,12 @@
 .PHONY: cluster-test cluster-figures
 cluster-test:
 	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
-	cmake --build build-cluster -j4 --target membership_tests cuts_tests copies_tests cluster_tests
+	cmake --build build-cluster -j4 --target membership_tests cuts_tests copies_tests quota_tests cluster_tests
 	SEEDS=$(SEEDS) build-cluster/tests/membership_tests --gtest_filter='AgreementDays.Keep*:Facts*'
 	SEEDS=1000 build-cluster/tests/cuts_tests
 	SEEDS=$(SEEDS) build-cluster/tests/copies_tests --gtest_filter='CopyDays.Lose*:JobDays.What*:KeyDays.No*'
+	SEEDS=$(SEEDS) build-cluster/tests/quota_tests --gtest_filter='QuotaDays.Small*:*Fuzz*'
+	SEEDS=200 build-cluster/tests/quota_tests --gtest_filter='QuotaDays.Large*:QuotaDays.Reports*'
 	LONG=1 build-cluster/tests/cluster_tests --gtest_filter='-ProcessDays*'
 	SEEDS=$(PROCESS_DAYS) build-cluster/tests/cluster_tests --gtest_filter='ProcessDays*'
 
@@ -71,6 +73,12 @@
 	cmake --build build-cluster -j4 --target membership_tests
 	build-cluster/tests/membership_tests --gtest_also_run_disabled_tests --gtest_filter='DetectorFigures*'
 
+.PHONY: quota-figures
+quota-figures:
+	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-cluster -j4 --target quota_tests
+	build-cluster/tests/quota_tests --gtest_also_run_disabled_tests --gtest_filter='QuotaFigures.*'
+
 .PHONY: copies-figures
 copies-figures:
 	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
