An attempt for a promise goes to the system in the call that was given leave

'It sent on an old lease': 1 to 7 deliveries after SIGCONT. Cause, by the ids of what was delivered: an attempt of the stopped owner's own round reached the worker within 0.1 s of its going on. Connection::Write leaves the bytes to libevent, which hands them over in a later turn; a stop in between keeps them until the process wakes, when the job has been adopted. Excluded: the check as the connection comes up (29 of the others logged 'not-ours'), the adopters' attempts (other ids), the test (its worker reads all the while). Change: Connection::WriteNow, used for promises alone. What remains is a stop between two system calls.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -151,6 +151,19 @@
   bufferevent_write(bev_.get(), bytes.data(), bytes.size());
 }
 
+void Connection::WriteNow(std::string_view bytes) {
+  if (bev_ == nullptr) return;
+  if (Drained()) {
+    const ssize_t sent =
+        send(descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent > 0) {
+      out_ += static_cast<std::size_t>(sent);
+      bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  }
+  if (!bytes.empty()) Write(bytes);
+}
+
 std::size_t Connection::Unsent() const {
   return bev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(bev_.get()));
 }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -37,6 +37,10 @@
   Connection& operator=(const Connection&) = delete;
 
   void Write(std::string_view bytes);
+  // Hands to the system at once what it takes, where nothing waits before it; the rest goes as with
+  // Write. What Write holds back goes out in a later turn, however long this process is stopped
+  // before it. The socket must be connected.
+  void WriteNow(std::string_view bytes);
   // True once every byte written so far has gone to the kernel.
   bool Drained() const { return Unsent() == 0; }
   std::size_t Unsent() const;
--- a/src/net/http/worker_pool.cpp
+++ b/src/net/http/worker_pool.cpp
@@ -123,7 +123,8 @@
         "\r\n" + (e.key.empty() ? "" : "Idempotency-Key: " + e.key + "\r\n") +
         "Request-Timeout-Ms: " + std::to_string(static_cast<long long>(left_ms)) + "\r\n" +
         held.pass_on + "Content-Length: " + std::to_string(e.body.size()) + "\r\n\r\n" + e.body;
-    if (connected_ || e.promised.empty()) return Write(text);
+    if (e.promised.empty()) return Write(text);
+    if (connected_) return WritePromised(text);
     // What is sent for a promise waits for the connection: the system makes it while this process
     // is stopped, and by then the promise may be another's.
     promise_ = e.promised;
@@ -211,7 +212,14 @@
       Report({.verdict = Verdict::kNotSent});
       return Finish("not-ours");
     }
-    Write(std::exchange(pending_, {}));
+    WritePromised(std::exchange(pending_, {}));
+  }
+
+  // Leave to send it was asked for just now. Were it written in a later turn, this process might
+  // have been stopped in between, and the promise be another's.
+  void WritePromised(const std::string& text) {
+    WriteNow(text);
+    if (Drained()) OnDrained();
   }
 
   // All that was written has gone to the kernel: the attempt is out whole.
