Scale rig: quota leases by dispatchers, tenants and allocators

Three axes take the place of the disabled QuotaFigures and of make quota-figures: JSON and a table like the others, bytes of whole frames with heads (48, 40 and 24 bytes were guessed before), both ways together, and without what a member says to itself. Holder's unused parameter is gone.

--- a/Makefile
+++ b/Makefile
@@ -72,12 +72,6 @@
 	cmake --build build-cluster -j4 --target membership_tests
 	build-cluster/tests/membership_tests --gtest_also_run_disabled_tests --gtest_filter='DetectorFigures*'
 
-.PHONY: quota-figures
-quota-figures:
-	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
-	cmake --build build-cluster -j4 --target quota_tests
-	build-cluster/tests/quota_tests --gtest_also_run_disabled_tests --gtest_filter='QuotaFigures.*'
-
 .PHONY: copies-figures
 copies-figures:
 	cmake -B build-cluster -DCMAKE_BUILD_TYPE=Release
--- a/bench/scale/axes.cpp
+++ b/bench/scale/axes.cpp
@@ -6,9 +6,16 @@
 
 const std::vector<Axis>& AllAxes() {
   static const std::vector<Axis> axes{
-      {"tenants", RunTenants}, {"workers", RunWorkers},    {"dispatchers", RunDispatchers},
-      {"starts", RunStarts},   {"in-flight", RunInFlight}, {"list-changes", RunListChanges},
+      {"tenants", RunTenants},
+      {"workers", RunWorkers},
+      {"dispatchers", RunDispatchers},
+      {"starts", RunStarts},
+      {"in-flight", RunInFlight},
+      {"list-changes", RunListChanges},
       {"members", RunMembers},
+      {"quota-dispatchers", RunQuotaDispatchers},
+      {"quota-tenants", RunQuotaTenants},
+      {"quota-allocators", RunQuotaAllocators},
   };
   return axes;
 }
--- a/bench/scale/axes.h
+++ b/bench/scale/axes.h
@@ -28,6 +28,9 @@
 AxisResult RunInFlight(const AxisOptions& options);
 AxisResult RunListChanges(const AxisOptions& options);
 AxisResult RunMembers(const AxisOptions& options);
+AxisResult RunQuotaDispatchers(const AxisOptions& options);
+AxisResult RunQuotaTenants(const AxisOptions& options);
+AxisResult RunQuotaAllocators(const AxisOptions& options);
 
 const std::vector<Axis>& AllAxes();
 
--- /dev/null
+++ b/bench/scale/axis_quota.cpp
@@ -0,0 +1,222 @@
+// Quota leases: what they cost each dispatcher and each allocator, and how soon a shift of demand
+// is granted, by dispatchers, by tenants and by allocators.
+#include <algorithm>
+
+#include "net/cluster/frame.h"
+#include "quota_demand.h"
+#include "quota_world.h"
+#include "scale/axes.h"
+#include "scale/statistics.h"
+
+namespace millethollow::scale {
+namespace {
+
+using quota::QuotaWorld;
+using quota::WorldOptions;
+
+constexpr std::size_t kZones = 11;
+constexpr std::size_t kUsualDispatchers = 300, kUsualTenants = 130, kUsualAllocators = 5;
+constexpr std::size_t kIpAndUdpBytes = 28;
+constexpr std::size_t kDatagramBytes = cluster::kMostDatagram;  // longer frames go by TCP
+constexpr double kFirstViewS = 0.5, kWarmUpS = 12;
+constexpr double kMovePeriodS = 1;
+
+struct QuotaCase {
+  std::size_t dispatchers = kUsualDispatchers;
+  std::size_t tenants = kUsualTenants;
+  std::size_t allocators = kUsualAllocators;
+  double seconds = 30;
+  int shifts = 100;
+  std::uint64_t seed = 1;
+};
+
+// What went over the network and was computed, of all processes.
+struct Spent {
+  double messages = 0, bytes = 0;
+  double holder_ns = 0, allocator_ns = 0;
+};
+
+std::size_t WireBytes(const quota::Message& message) {
+  const std::size_t frame = cluster::Encode(cluster::Header{}, cluster::Body(message)).size();
+  const std::size_t packets = (frame + kDatagramBytes - 1) / kDatagramBytes;
+  return frame + packets * kIpAndUdpBytes;
+}
+
+Spent SpentOf(const QuotaWorld& world) {
+  Spent spent;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    const QuotaWorld::Process& process = world.process(i);
+    spent.messages += static_cast<double>(process.reports.messages + process.grants.messages);
+    spent.bytes += static_cast<double>(process.reports.bytes + process.grants.bytes);
+    spent.holder_ns += process.holder_ns;
+    spent.allocator_ns += process.allocator_ns;
+  }
+  return spent;
+}
+
+// Each tenant is asked for everywhere, at 0.2 to 2 times its quota in all.
+void AskEverywhere(QuotaWorld* world) {
+  const std::size_t count = world->size();
+  for (std::size_t tenant = 0; tenant < world->tenants(); ++tenant) {
+    const double part = 0.2 + 1.8 * world->random().Unit();
+    const double each = world->quota(tenant) * part / static_cast<double>(count);
+    quota::SetDemandOf(world, tenant, std::vector<double>(count, each));
+  }
+}
+
+// A tenth of the tenants has its demand elsewhere.
+void MoveSomeDemand(QuotaWorld* world) {
+  const std::size_t moves = std::max<std::size_t>(1, world->tenants() / 10);
+  for (std::size_t move = 0; move < moves; ++move) {
+    const std::size_t tenant = world->random().Below(world->tenants());
+    quota::SetDemandOf(
+        world, tenant,
+        quota::PickDemand(&world->random(), world->size(), kZones, world->quota(tenant)));
+  }
+}
+
+// Each message is sent by one and heard by another: in sum over all dispatchers, as over all
+// allocators, both ways together are all messages once.
+void AddSpent(const std::string& when, const QuotaCase& of, const Spent& before, const Spent& after,
+              Point* point) {
+  const double bytes = (after.bytes - before.bytes) / of.seconds;
+  const double messages = (after.messages - before.messages) / of.seconds;
+  const double holder = (after.holder_ns - before.holder_ns) / of.seconds;
+  const double allocator = (after.allocator_ns - before.allocator_ns) / of.seconds;
+  const auto dispatchers = static_cast<double>(of.dispatchers);
+  const auto allocators = static_cast<double>(of.allocators);
+  point->Computed("dispatcher_messages_" + when, "message/s", messages / dispatchers);
+  point->Computed("dispatcher_bytes_" + when, "B/s", bytes / dispatchers);
+  point->Computed("allocator_messages_" + when, "message/s", messages / allocators);
+  point->Computed("allocator_bytes_" + when, "B/s", bytes / allocators);
+  point->Measured("dispatcher_processor_" + when, "ns/s", holder / dispatchers);
+  point->Measured("allocator_processor_" + when, "ns/s", allocator / allocators);
+}
+
+// Half of a tenant's quota is asked for anew at one dispatcher: seconds until its rate rises.
+Samples MeasureShifts(QuotaWorld* world, int shifts) {
+  constexpr double kMostS = 5, kStepS = 0.05;
+  Samples took;
+  std::size_t watched = 0, tenant = 0;
+  double rate = 0, granted_at = -1;
+  world->on_grant = [&](std::size_t i) {
+    if (i != watched || granted_at >= 0 || world->RateOf(i, tenant) <= rate) return;
+    granted_at = world->now();
+  };
+  for (int shift = 0; shift < shifts; ++shift) {
+    watched = world->random().Below(world->size());
+    tenant = world->random().Below(world->tenants());
+    rate = world->RateOf(watched, tenant);
+    granted_at = -1;
+    const double shifted_at = world->now();
+    const double before = world->demand(watched, tenant);
+    world->SetDemand(watched, tenant, before + world->quota(tenant) / 2);
+    while (granted_at < 0 && world->now() < shifted_at + kMostS) {
+      world->RunUntil(world->now() + kStepS);
+    }
+    if (granted_at >= 0) took.Add(granted_at - shifted_at);
+    world->SetDemand(watched, tenant, before);
+    world->RunUntil(world->now() + 1 + world->random().Unit());
+  }
+  world->on_grant = [](std::size_t) {};
+  return took;
+}
+
+void MeasureQuota(const QuotaCase& of, Point* point) {
+  WorldOptions options;
+  options.regions = kZones;
+  options.dispatchers = of.dispatchers;
+  options.allocators = of.allocators;
+  options.tenants = of.tenants;
+  options.check = false;
+  options.measure = true;
+  options.size_of = WireBytes;
+  QuotaWorld world(of.seed, options);
+  world.StartAll();
+  world.ProposeWholeView(kFirstViewS);
+  AskEverywhere(&world);
+  world.RunUntil(kWarmUpS);
+  const Spent at_start = SpentOf(world);
+  world.RunUntil(world.now() + of.seconds);
+  const Spent after_rest = SpentOf(world);
+  AddSpent("steady", of, at_start, after_rest, point);
+  for (double s = 0; s < of.seconds; s += kMovePeriodS) {
+    MoveSomeDemand(&world);
+    world.RunUntil(world.now() + kMovePeriodS);
+  }
+  AddSpent("moving", of, after_rest, SpentOf(world), point);
+  const Samples took = MeasureShifts(&world, of.shifts);
+  point->Computed("shifts_granted", "of all", static_cast<double>(took.size()) / of.shifts);
+  point->Computed("shift_to_grant_p50", "s", took.Quantile(0.5));
+  point->Computed("shift_to_grant_p99", "s", took.Quantile(0.99));
+}
+
+// One axis: the case of each size, named by `unit`.
+template <typename CaseOf>
+AxisResult RunQuota(const std::string& name, const std::string& unit,
+                    const std::vector<std::size_t>& sizes, CaseOf case_of) {
+  AxisResult result = NewResult(name);
+  for (const std::size_t size : sizes) {
+    const auto measure = [=] {
+      Point point;
+      point.Computed(unit + "s", unit, static_cast<double>(size));
+      MeasureQuota(case_of(size), &point);
+      return point;
+    };
+    AddPoint({measure}, std::to_string(size) + " " + unit + "s", &result);
+  }
+  for (const char* figure :
+       {"dispatcher_bytes_steady", "dispatcher_bytes_moving", "allocator_bytes_steady",
+        "allocator_bytes_moving", "dispatcher_processor_moving", "allocator_processor_moving",
+        "shift_to_grant_p99"}) {
+    result.trends.push_back(TrendOf(figure, result.points));
+  }
+  return result;
+}
+
+QuotaCase UsualCase(const AxisOptions& options) {
+  QuotaCase usual;
+  usual.seed = options.seed;
+  if (!options.is_short) return usual;
+  usual.dispatchers = 40;
+  usual.tenants = 26;
+  usual.seconds = 5;
+  usual.shifts = 10;
+  return usual;
+}
+
+}  // namespace
+
+AxisResult RunQuotaDispatchers(const AxisOptions& options) {
+  const std::vector<std::size_t> sizes = options.is_short
+                                             ? std::vector<std::size_t>{10, 20, 40, 80}
+                                             : std::vector<std::size_t>{10, 30, 100, 300, 1000};
+  return RunQuota("quota-dispatchers", "dispatcher", sizes, [options](std::size_t size) {
+    QuotaCase of = UsualCase(options);
+    of.dispatchers = size;
+    return of;
+  });
+}
+
+AxisResult RunQuotaTenants(const AxisOptions& options) {
+  const std::vector<std::size_t> sizes = options.is_short
+                                             ? std::vector<std::size_t>{5, 10, 20, 40}
+                                             : std::vector<std::size_t>{10, 30, 65, 130, 260};
+  return RunQuota("quota-tenants", "tenant", sizes, [options](std::size_t size) {
+    QuotaCase of = UsualCase(options);
+    of.tenants = size;
+    return of;
+  });
+}
+
+AxisResult RunQuotaAllocators(const AxisOptions& options) {
+  const std::vector<std::size_t> sizes = options.is_short ? std::vector<std::size_t>{2, 3, 5, 11}
+                                                          : std::vector<std::size_t>{5, 11, 17, 26};
+  return RunQuota("quota-allocators", "allocator", sizes, [options](std::size_t size) {
+    QuotaCase of = UsualCase(options);
+    of.allocators = size;
+    return of;
+  });
+}
+
+}  // namespace millethollow::scale
--- a/src/net/cluster/quota_keeper.cpp
+++ b/src/net/cluster/quota_keeper.cpp
@@ -65,8 +65,7 @@
       options_(std::move(options)),
       hooks_(std::move(hooks)),
       allocators_(options_.allocators.begin(), options_.allocators.end()),
-      holder_(options_.self, options_.life, options_.members.size(), TenantQuotas(),
-              options_.timings),
+      holder_(options_.life, options_.members.size(), TenantQuotas(), options_.timings),
       allocated_(options_.tenants.size(), false),
       demand_(options_.tenants.size(), 0.0) {}
 
--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -15,8 +15,8 @@
 
 }  // namespace
 
-Holder::Holder(NodeId /*self*/, Life life, std::size_t dispatchers,
-               std::vector<TenantQuota> tenants, const Timings& timings)
+Holder::Holder(Life life, std::size_t dispatchers, std::vector<TenantQuota> tenants,
+               const Timings& timings)
     : life_(life), dispatchers_(dispatchers), timings_(timings) {
   if (tenants.size() > kMostTenants) tenants.resize(kMostTenants);
   for (const TenantQuota& given : tenants) {
--- a/src/quota/holder.h
+++ b/src/quota/holder.h
@@ -26,7 +26,7 @@
  public:
   // `life`: of this process. `dispatchers`: how many members of the cluster share each quota, this
   // one among them. The clock of every `now` counts pauses and never runs back, in seconds.
-  Holder(NodeId self, Life life, std::size_t dispatchers, std::vector<TenantQuota> tenants,
+  Holder(Life life, std::size_t dispatchers, std::vector<TenantQuota> tenants,
          const Timings& timings);
 
   // The agreed view has changed. An older one than is known is left out. The first one has this
--- a/tests/quota_refusals_test.cpp
+++ b/tests/quota_refusals_test.cpp
@@ -62,8 +62,7 @@
  public:
   Pair() : allocator_(kSelf, Dispatchers(), tenants_.Quotas(), timings_, now_) {
     for (const NodeId id : Dispatchers()) {
-      holders_.emplace(id,
-                       Holder(id, LifeOf(id), Dispatchers().size(), tenants_.Quotas(), timings_));
+      holders_.emplace(id, Holder(LifeOf(id), Dispatchers().size(), tenants_.Quotas(), timings_));
     }
     allocator_.SetView(now_, ViewOf(kEpoch));
     for (auto& [id, holder] : holders_) holder.SetView(now_, ViewOf(kEpoch));
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -27,11 +27,14 @@
   return {epoch, std::move(allocators)};
 }
 
+// Floors of 4 in sum of a quota of 100, so that the figures below are round.
+constexpr Timings kTimings{.floor_part = 0.04};
+
 // One allocator (node 1) and holders at nodes 1 to n, messages carried at once unless cut.
 class Cluster {
  public:
   explicit Cluster(std::size_t dispatchers, std::vector<TenantQuota> tenants = {{kTenant, kQuota}},
-                   const Timings& timings = {})
+                   const Timings& timings = kTimings)
       : tenants_(std::move(tenants)), timings_(timings) {
     for (NodeId id = 1; id <= dispatchers; ++id) ids_.push_back(id);
     for (const NodeId id : ids_) StartHolder(id, 100 + id);
@@ -40,7 +43,7 @@
 
   void StartHolder(NodeId id, Life life) {
     lives_[id] = life;
-    holders_[id] = std::make_unique<Holder>(id, life, ids_.size(), tenants_, timings_);
+    holders_[id] = std::make_unique<Holder>(life, ids_.size(), tenants_, timings_);
   }
   void StartAllocator(NodeId id) {
     allocators_[id] = std::make_unique<Allocator>(id, ids_, tenants_, timings_, now);
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -38,11 +38,13 @@
   double most_held_s = 10;
   bool check = true;     // after each event
   bool measure = false;  // processor time
+  // Bytes of a message on the wire; absent: bytes are not counted.
+  std::function<std::size_t(const Message&)> size_of = {};
   Timings timings = {};
   PlantedFaults planted = {};
 };
 
-// Messages that a process sent.
+// Messages that a process sent to others.
 struct Traffic {
   std::uint64_t messages = 0, bytes = 0;
 };
@@ -113,7 +115,7 @@
     process.epoch = 0;
     process.settings = quotas_.size() - 1;
     const std::vector<TenantQuota> quotas = TenantQuotas(process.settings);
-    process.holder.emplace(process.id, process.life, size(), quotas, options_.timings);
+    process.holder.emplace(process.life, size(), quotas, options_.timings);
     if (i < options_.allocators) {
       process.allocator = std::make_unique<Allocator>(
           process.id, AllIds(), quotas, TimingsWith(options_.planted, options_.timings),
@@ -246,7 +248,6 @@
   static constexpr double kTimerSeconds = 0.001;
   // Each clock's pace differs from the true time's by at most this share: just below 1%.
   static constexpr double kPaceSpread = 0.0099;
-  static constexpr std::size_t kFrameBytes = 48, kUsageBytes = 40, kAssignmentBytes = 24;
 
   void Prepare(std::size_t i) {
     Process& process = processes_[i];
@@ -371,20 +372,17 @@
   void Send(std::size_t from, NodeId to, Message message) {
     Process& process = processes_[from];
     const std::size_t target = to - 1;
-    if (const auto* grant = std::get_if<Grant>(&message)) {
-      Count(&process.grants, kAssignmentBytes * grant->assignments.size());
-      tampering_.OnSend(process.id, to, *grant);
-    } else {
-      Count(&process.reports, kUsageBytes * std::get<Report>(message).usages.size());
-    }
+    const auto* grant = std::get_if<Grant>(&message);
+    if (from != target) Count(grant == nullptr ? &process.reports : &process.grants, message);
+    if (grant != nullptr) tampering_.OnSend(process.id, to, *grant);
     const auto shared = std::make_shared<const Message>(std::move(message));
     Carry(from, target, [this, target, from_id = process.id, life = process.life, shared] {
       Arrive(target, from_id, life, *shared);
     });
   }
-  static void Count(Traffic* traffic, std::size_t entry_bytes) {
+  void Count(Traffic* traffic, const Message& message) const {
     traffic->messages += 1;
-    traffic->bytes += kFrameBytes + entry_bytes;
+    if (options_.size_of) traffic->bytes += options_.size_of(message);
   }
   // By the network; to itself a process speaks without it.
   void Carry(std::size_t from, std::size_t to, const std::function<void()>& what) {
