Sends wait for an overdue list also where the drain grace is short

Its drain grace is 1.5 s. Cause: Discovery::Answered did so only where the spread was below 0.95 of the grace; after two calls turned away the spread reaches 1.6 s, which is below 0.95 of 2 s, the grace of the other sites, and above 0.95 of 1.5 s. Now sends wait where the call comes within 1 s of that moment.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -36,6 +36,9 @@
 // Of the drain grace after a list, when nothing may be sent by it until the next call's answer. The
 // rest is for what the send itself takes.
 constexpr double kOverdueShare = 0.95;
+// Sends wait no longer than this for a call that is to come: beyond, discovery bears so few calls
+// that requests would end while they wait.
+constexpr double kMostHeldS = 1.0;
 // After a move: what the new address has to tell counts as told this long after it, and until then
 // a call that fails is soon tried again.
 constexpr double kMoveS = 4.0;
@@ -300,9 +303,8 @@
     const double spread_s = Crowd() ? pace_.AfterAnswer(Unit()) : 0;
     if (news && spread_s > 0) {
       // What changed right after the answer counts as told, since the watch might have gone on.
-      // Not where discovery bears so few calls that sends would wait for long.
       const double most = kOverdueShare * options_.drain_grace_s;
-      if (spread_s < most) overdue_from_ = loop_->Now() + most;
+      if (spread_s < most + kMostHeldS) overdue_from_ = loop_->Now() + most;
       CallIn(spread_s);
     } else if (!news && call->waits() && soon) {
       CallIn(kNoNewsS, true);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -294,7 +294,7 @@
   std::function<void(const ToyWorker::Got&, std::size_t nth)> act;
   std::unique_ptr<Discovery> discovery;
 
-  explicit Called(int nodes, double ask_within_s = 10) {
+  explicit Called(int nodes, double ask_within_s = 10, std::uint64_t seed = 3, double drain_grace_s = 2) {
     LogLevel() = Level::kError;
     server.act = [this](const ToyWorker::Got& g) {
       asked.push_back(loop.Now());
@@ -303,7 +303,7 @@
     };
     discovery = std::make_unique<Discovery>(
         &loop,
-        Discovery::Options{.address = server.address(), .ask_within_s = ask_within_s, .zones = {}, .kinds = {}, .seed = 3, .nodes = nodes},
+        Discovery::Options{.address = server.address(), .ask_within_s = ask_within_s, .zones = {}, .kinds = {}, .seed = seed, .drain_grace_s = drain_grace_s, .nodes = nodes},
         Discovery::Hooks{.known = [this](decksail::ListKind k, const ServerList&) { known.push_back(k); },
                          .unavailable =
                              [this] {
@@ -392,6 +392,33 @@
   EXPECT_FALSE(TurnUntil(d.loop, [&] { return d.discovery->Overdue(); }, 2.2));
 }
 
+// The same where the drain grace is shorter than the wait until the next call: a worker that ended right after the
+// answer was sent to until that call's answer came. With this seed the wait is 1.59 s after two calls turned away.
+TEST(Discovery, OfManyNodesOneThatCallsLaterThanAShortDrainGraceSaysSoToo) {
+  constexpr double kGraceS = 1.5;
+  Called d(300, 10, 2197, kGraceS);
+  ToyWorker::Got last;
+  d.act = [&](const ToyWorker::Got& g, std::size_t nth) {
+    if (nth == 1) Called::Tell(g, 3);
+    if (nth == 2 || nth == 3) g.from->Write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    if (nth == 4) Called::Tell(g, 4);
+    last = g;
+  };
+  d.discovery->Subscribe(true);
+  ASSERT_TRUE(d.Asked(4, 12));
+  ASSERT_TRUE(TurnUntil(d.loop, [&] { return d.known.size() == 2; }));
+  EXPECT_FALSE(d.discovery->Overdue());
+  EXPECT_TRUE(TurnUntil(d.loop, [&] { return d.discovery->Overdue() || d.asked.size() == 5; }, 3));
+  EXPECT_EQ(d.asked.size(), 4U) << "overdue before the next call";
+  EXPECT_LT(d.loop.Now() - d.asked[3], kGraceS);
+  ASSERT_TRUE(d.Asked(5));
+  EXPECT_GT(d.asked[4] - d.asked[3], kGraceS) << "or the case was not met";
+  EXPECT_TRUE(d.discovery->Overdue());
+  Called::Tell(last, 4);
+  ASSERT_TRUE(TurnUntil(d.loop, [&] { return d.known.size() == 3; }));
+  EXPECT_FALSE(d.discovery->Overdue());
+}
+
 // A watch that falls silent is given up soon after its wait, and the next call does not wait.
 TEST(Discovery, ASilentWatchIsFollowedByACallAtOnce) {
   for (const int nodes : {3, 7}) {
