--- a/bench/scale/axis_quota.cpp
+++ b/bench/scale/axis_quota.cpp
@@ -151,16 +151,31 @@
   point->Computed("shift_to_grant_p99", "s", took.Quantile(0.99));
 }
 
-// One axis: the case of each size, named by `unit`.
-template <typename CaseOf>
-AxisResult RunQuota(const std::string& name, const std::string& unit,
-                    const std::vector<std::size_t>& sizes, CaseOf case_of) {
+QuotaCase UsualCase(const AxisOptions& options) {
+  QuotaCase usual;
+  usual.seed = options.seed;
+  if (!options.is_short) return usual;
+  usual.dispatchers = 40;
+  usual.tenants = 26;
+  usual.seconds = 5;
+  usual.shifts = 10;
+  return usual;
+}
+
+// Sizes along one axis, rising.
+using Sizes = std::vector<std::size_t>;
+
+// One axis: the usual case with another number of one thing, named by `unit`.
+AxisResult RunQuota(const std::string& name, const std::string& unit, const AxisOptions& options,
+                    std::size_t QuotaCase::*varied, const Sizes& sizes) {
   AxisResult result = NewResult(name);
   for (const std::size_t size : sizes) {
+    QuotaCase of = UsualCase(options);
+    of.*varied = size;
     const auto measure = [=] {
       Point point;
       point.Computed(unit + "s", unit, static_cast<double>(size));
-      MeasureQuota(case_of(size), &point);
+      MeasureQuota(of, &point);
       return point;
     };
     AddPoint({measure}, std::to_string(size) + " " + unit + "s", &result);
@@ -174,49 +189,21 @@
   return result;
 }
 
-QuotaCase UsualCase(const AxisOptions& options) {
-  QuotaCase usual;
-  usual.seed = options.seed;
-  if (!options.is_short) return usual;
-  usual.dispatchers = 40;
-  usual.tenants = 26;
-  usual.seconds = 5;
-  usual.shifts = 10;
-  return usual;
-}
-
 }  // namespace
 
 AxisResult RunQuotaDispatchers(const AxisOptions& options) {
-  const std::vector<std::size_t> sizes = options.is_short
-                                             ? std::vector<std::size_t>{10, 20, 40, 80}
-                                             : std::vector<std::size_t>{10, 30, 100, 300, 1000};
-  return RunQuota("quota-dispatchers", "dispatcher", sizes, [options](std::size_t size) {
-    QuotaCase of = UsualCase(options);
-    of.dispatchers = size;
-    return of;
-  });
+  const Sizes sizes = options.is_short ? Sizes{10, 20, 40, 80} : Sizes{10, 30, 100, 300, 1000};
+  return RunQuota("quota-dispatchers", "dispatcher", options, &QuotaCase::dispatchers, sizes);
 }
 
 AxisResult RunQuotaTenants(const AxisOptions& options) {
-  const std::vector<std::size_t> sizes = options.is_short
-                                             ? std::vector<std::size_t>{5, 10, 20, 40}
-                                             : std::vector<std::size_t>{10, 30, 65, 130, 260};
-  return RunQuota("quota-tenants", "tenant", sizes, [options](std::size_t size) {
-    QuotaCase of = UsualCase(options);
-    of.tenants = size;
-    return of;
-  });
+  const Sizes sizes = options.is_short ? Sizes{5, 10, 20, 40} : Sizes{10, 30, 65, 130, 260};
+  return RunQuota("quota-tenants", "tenant", options, &QuotaCase::tenants, sizes);
 }
 
 AxisResult RunQuotaAllocators(const AxisOptions& options) {
-  const std::vector<std::size_t> sizes = options.is_short ? std::vector<std::size_t>{2, 3, 5, 11}
-                                                          : std::vector<std::size_t>{5, 11, 17, 26};
-  return RunQuota("quota-allocators", "allocator", sizes, [options](std::size_t size) {
-    QuotaCase of = UsualCase(options);
-    of.allocators = size;
-    return of;
-  });
+  const Sizes sizes = options.is_short ? Sizes{2, 3, 5, 11} : Sizes{5, 11, 17, 26};
+  return RunQuota("quota-allocators", "allocator", options, &QuotaCase::allocators, sizes);
 }
 
 }  // namespace millethollow::scale
