Gearman job ids hold a number that each process draws, so that none repeats

Cause: Front named a job "H:NODE:COUNT" with a count that began at 0 in each process. The handle is the job's Request-Id, and its Idempotency-Key where the client gives no unique id, so workers dropped new charges as repeats. The handle of an HTTP request at a Gearman worker was made alike.

Why it works: handles begin with 63 random bits that the process draws after it was forked; nothing has to be stored or agreed on. Durable jobs had such a number; both draw it with DrawProcessNumber. The log now names the prefix at the start, and an id that is refused (it told neither).

--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -1,6 +1,7 @@
 #include "net/gearman/front.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include "logging/log.h"
 #include "net/gearman/peer.h"
@@ -17,10 +18,20 @@
 constexpr int kFirstUnlistedCell = 1 << 20;    // larger than the cells of endpoint lists
 constexpr std::string_view kVersion = "0.1.0";
 
+std::string HandlePrefix(const std::string& node_name, std::uint64_t process_number) {
+  std::ostringstream prefix;
+  prefix << "H:" << node_name << ':' << std::hex << process_number << ':';
+  return prefix.str();
+}
+
 }  // namespace
 
-Front::Front(Forwarder* forwarder, const Config& config, Counters* counters)
-    : forwarder_(forwarder), config_(config), counters_(counters) {}
+Front::Front(Forwarder* forwarder, const Config& config, Counters* counters,
+             std::uint64_t process_number)
+    : forwarder_(forwarder),
+      config_(config),
+      counters_(counters),
+      handle_prefix_(HandlePrefix(config.name, process_number)) {}
 Front::~Front() = default;
 
 bool Front::AdoptListener(int fd) {
@@ -46,7 +57,7 @@
 
 void Front::Accept(evutil_socket_t fd) {
   DescriptorBudget& budget = forwarder_->loop()->budget();
-  ++sequence_;
+  ++last_connection_;
   // Names are reused once their worker is gone, so that state kept by worker name does not grow
   // with every reconnect. The cell is new each time.
   int name_number = 1;
@@ -54,7 +65,7 @@
   name_numbers_.insert(name_number);
   auto peer = std::make_unique<Peer>(
       this, forwarder_->loop(), fd, "gearman-" + config_.name + "-" + std::to_string(name_number),
-      name_number, kFirstUnlistedCell + static_cast<int>(sequence_ % kFirstUnlistedCell));
+      name_number, kFirstUnlistedCell + static_cast<int>(last_connection_ % kFirstUnlistedCell));
   Peer* raw = peer.get();
   peers_.emplace(raw, std::move(peer));
   budget.clients += 1;
@@ -164,7 +175,7 @@
   task.attempt = attempt;
   task.priority = job ? job->priority : 1;
   // Each attempt has its own handle, so that a worker cannot report a result for a later attempt.
-  task.handle = (job ? job->handle : "H:" + config_.name + ":e" + std::to_string(request.id)) +
+  task.handle = (job ? job->handle : HandleOfRequest(request.id)) +
                 (attempt > 0 ? "." + std::to_string(attempt) : "");
   task.function = function;
   task.unique = job ? job->unique : request.key;
--- a/src/net/gearman/front.h
+++ b/src/net/gearman/front.h
@@ -4,6 +4,7 @@
 #ifndef MILLETHOLLOW_NET_GEARMAN_FRONT_H_
 #define MILLETHOLLOW_NET_GEARMAN_FRONT_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -51,7 +52,9 @@
 // must outlive it.
 class Front final : public ResponseHandler, public WorkerDriver, public DurableJobRunner {
  public:
-  Front(Forwarder* forwarder, const Config& config, Counters* counters);
+  // `process_number`: unique to this process; the handles of its jobs are made from it.
+  Front(Forwarder* forwarder, const Config& config, Counters* counters,
+        std::uint64_t process_number);
   ~Front() override;
   // Binds `address` and starts accepting. On failure returns false with `error`.
   bool Listen(const std::string& address, std::string* error);
@@ -61,6 +64,8 @@
   int listener() const { return listener_.descriptor(); }
   // Pauses or resumes accepting. Paused while another process serves the same address.
   void SetAccepting(bool accepting);
+  // What the handles of all jobs of this process begin with, and those of no other process.
+  const std::string& handle_prefix() const { return handle_prefix_; }
   // The bound address, with the actual port if port 0 was requested.
   std::string address() const { return listener_.address(); }
   // Starts the shutdown. New jobs are refused once the listening socket is closed too.
@@ -112,6 +117,11 @@
   // The request by which the forwarder runs the job.
   ClientRequest MakeClientRequest(const Job& job, const GearmanFunction& mapped,
                                   std::string_view body) const;
+  // A handle that no other job has, of this process or another. It is the wire id of the job's
+  // request too, and its idempotency key if it needs one and the client gave no unique id.
+  std::string NewHandle();
+  // The handle of an HTTP client's request at a Gearman worker.
+  std::string HandleOfRequest(RequestId id) const;
   // Adds the job to the maps; `bytes`: the size of its body.
   void AddJob(const std::shared_ptr<Job>& job, std::size_t bytes);
   // Removes a closed client from the jobs that it waits for, and cancels those that no client
@@ -138,6 +148,7 @@
   Forwarder* forwarder_;
   const Config& config_;
   Counters* counters_;
+  const std::string handle_prefix_;
   DurableJobs* durable_jobs_ = nullptr;
   Listener listener_;
   std::map<Peer*, std::unique_ptr<Peer>> peers_;
@@ -148,9 +159,9 @@
   std::map<UniqueKey, KeptResult> kept_results_;
   // By request and attempt, while the outcome of a successful attempt is being reported.
   std::map<std::pair<RequestId, int>, std::vector<std::pair<Type, std::string>>> partial_data_;
-  std::set<int> name_numbers_;  // in use by peers' names
-  std::size_t body_bytes_ = 0;  // of all jobs
-  std::uint64_t sequence_ = 0;
+  std::set<int> name_numbers_;                        // in use by peers' names
+  std::size_t body_bytes_ = 0;                        // of all jobs
+  std::uint64_t last_connection_ = 0, last_job_ = 0;  // counted from 1
   bool stopping_ = false, accepting_ = true;
 };
 
--- a/src/net/gearman/jobs.cpp
+++ b/src/net/gearman/jobs.cpp
@@ -83,7 +83,7 @@
   }
   if (background && durable_jobs_ != nullptr) return SubmitDurable(peer, type, key, body);
   auto job = std::make_shared<Job>();
-  job->handle = "H:" + config_.name + ":" + std::to_string(++sequence_);
+  job->handle = NewHandle();
   job->function = function;
   job->unique = key.second;
   job->background = background;
@@ -105,6 +105,12 @@
   peer->Send(Response(Type::kJobCreated, {job->handle}));
 }
 
+std::string Front::NewHandle() { return handle_prefix_ + std::to_string(++last_job_); }
+
+std::string Front::HandleOfRequest(RequestId id) const {
+  return handle_prefix_ + "e" + std::to_string(id);
+}
+
 void Front::AddJob(const std::shared_ptr<Job>& job, std::size_t bytes) {
   body_bytes_ += bytes;
   jobs_[job->request] = job;
@@ -259,6 +265,10 @@
   const auto job = FindByRequest(client_request.request.id);
   if (job == nullptr) return;
   RemoveJob(job);
+  if (answer.kind == FinalAnswer::Kind::kDuplicateId) {
+    LogLine(Level::kWarn) << "request-id-in-use request_id=" << client_request.request.wire_id
+                          << " function=" << job->function;
+  }
   const char* outcome = "failed";
   if (answer.kind == FinalAnswer::Kind::kCompleted) {
     outcome = "served";
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -47,7 +47,8 @@
     if (Status started = StartAdmin(); !started) return started;
   }
   ServeSuccessor();
-  LogLine(Level::kInfo) << "node-started name=" << config_.name;
+  LogLine(Level::kInfo) << "node-started name=" << config_.name
+                        << (gearman_front_ ? " handles=" + gearman_front_->handle_prefix() : "");
   return {};
 }
 
--- a/src/node/node_cluster.cpp
+++ b/src/node/node_cluster.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/node.h"
+#include "node/process_number.h"
 
 namespace millethollow {
 namespace {
@@ -36,10 +37,8 @@
 void Node::StartDurableJobs() {
   copies::DurableJobQueue::Limits limits = config_.cluster.jobs;
   limits.accepts_jobs = gearman_front_ != nullptr;
-  const std::uint64_t high = std::random_device{}();
-  const std::uint64_t low = std::random_device{}();
   durable_jobs_ = std::make_unique<cluster::ReplicatedDurableJobs>(
-      &loop_, member_.get(), limits, config_.name, (high << 32 | low) | 1);
+      &loop_, member_.get(), limits, config_.name, DrawProcessNumber());
   environment_.components().durable_jobs = durable_jobs_.get();
   durable_jobs_->SetRunner(gearman_front_.get());
   if (gearman_front_) gearman_front_->SetDurableJobs(durable_jobs_.get());
--- a/src/node/node_forwarder.cpp
+++ b/src/node/node_forwarder.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/node.h"
+#include "node/process_number.h"
 
 namespace millethollow {
 namespace {
@@ -54,7 +55,8 @@
 }
 
 Status Node::ListenForGearman() {
-  gearman_front_ = std::make_unique<gearman::Front>(forwarder_.get(), config_, &counters_);
+  gearman_front_ =
+      std::make_unique<gearman::Front>(forwarder_.get(), config_, &counters_, DrawProcessNumber());
   forwarder_->AddDriver(gearman_front_.get());
   if (inherited_state_.gearman_listener >= 0) {
     if (gearman_front_->AdoptListener(inherited_state_.gearman_listener)) return {};
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -5,7 +5,7 @@
 #include <random>
 
 #include "net/link/frame.h"
-#include "support/support.h"
+#include "support/node_harness.h"
 
 namespace millethollow {
 namespace {
@@ -76,17 +76,17 @@
 
 // A planner, a forwarder, and one worker, each on a loop of its own.
 struct Levels {
-  Levels() : worker(&host) {
+  explicit Levels(const std::string& extra = "") : worker(&host) {
     LogLevel() = Level::kError;
     char folder[] = "/tmp/millethollow-test-XXXXXX";
     path = mkdtemp(folder);
     std::string error;
-    EXPECT_TRUE(ReadConfig(TestConfig({worker.address()}, R"("levels":{"link":")" + path + "\"},"),
-                           &config, &error))
+    EXPECT_TRUE(
+        ReadConfig(TestConfig({worker.address()}, R"("levels":{"link":")" + path + "\"}," + extra),
+                   &config, &error))
         << error;
     StartPlanner();
-    forwarder = std::make_unique<Node>(config, Role{Role::Kind::kForwarder, 0});
-    EXPECT_TRUE(IsOk(forwarder->Start()));
+    StartForwarder();
     client = std::make_unique<RawClient>(&host, forwarder->http_address());
   }
   ~Levels() {
@@ -97,6 +97,10 @@
     planner = std::make_unique<Node>(config, Role{Role::Kind::kPlanner, 0});
     EXPECT_TRUE(IsOk(planner->Start()));
   }
+  void StartForwarder() {
+    forwarder = std::make_unique<Node>(config, Role{Role::Kind::kForwarder, 0});
+    EXPECT_TRUE(IsOk(forwarder->Start()));
+  }
   template <typename Done>
   bool Until(Done done, double timeout_s = 5) {
     const double until = host.Now() + timeout_s;
@@ -157,5 +161,25 @@
   EXPECT_TRUE(levels.SendRequest(Post("a3", "look")).ends_with("\r\n\r\nok"));
 }
 
+// Guards against jobs that a restarted forwarder names like those from before: the planner, which
+// ran on, refused their ids, and they were answered WORK_FAIL without being sent.
+TEST(TwoLevels, GearmanJobsAreServedAfterTheForwarderRestarts) {
+  Levels levels(kGearmanConfig);
+  const auto submit_one = [&] {
+    ASSERT_TRUE(levels.Serving());
+    GearmanPeer submitter(&levels.host, levels.forwarder->gearman_address());
+    submitter.Send(gearman::Type::kSubmitJob, {"charge", "", "order"});
+    EXPECT_TRUE(levels.Until([&] {
+      return submitter.ResponsesOf(gearman::Type::kWorkComplete).size() == 1;
+    })) << submitter.ResponsesOf(gearman::Type::kWorkFail).size();
+  };
+  submit_one();
+  levels.forwarder.reset();
+  levels.StartForwarder();
+  levels.client = std::make_unique<RawClient>(&levels.host, levels.forwarder->http_address());
+  submit_one();
+  EXPECT_EQ(levels.worker.requests.size(), 2u);
+}
+
 }  // namespace
 }  // namespace millethollow
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -13,10 +13,6 @@
 
 using gearman::Type;
 
-const std::string kGearmanConfig =
-    R"("gearman":{"listen":"127.0.0.1:0","functions":{
-       "look":{"class":"look","tenant":"andes"},"charge":{"class":"charge","tenant":"andes"}}},)";
-
 TEST(HttpFront, ForwardsTheRequestAndTheResultUnchanged) {
   NodeHarness harness;
   const std::string response =
--- a/tests/support/node_harness.h
+++ b/tests/support/node_harness.h
@@ -7,6 +7,11 @@
 
 namespace millethollow {
 
+// Settings of a Gearman front with the functions look and charge, each of the class of its name.
+inline const std::string kGearmanConfig =
+    R"("gearman":{"listen":"127.0.0.1:0","functions":{
+       "look":{"class":"look","tenant":"andes"},"charge":{"class":"charge","tenant":"andes"}}},)";
+
 struct NodeHarness {
   explicit NodeHarness(int workers = 3, const std::string& extra = "",
                        const std::string& handover = "") {
