An early rejection of a durable job no longer erases where it may have run

Cause: a rejected round erased each recorded attempt that FinalAnswer::ran_at did not name, and the rejections before any attempt (no list yet, function not mapped, same unique id running, no planner, planner lost) named none, so they erased what earlier processes had recorded.

Change: the outcome carries what was learned. FinalAnswer::never_ran has the numbers of those attempts of the round that certainly never ran; only they are erased. An attempt of an earlier round has no number, so no end of a round can erase it.

--- a/src/copies/durable_job_queue.cpp
+++ b/src/copies/durable_job_queue.cpp
@@ -243,7 +243,8 @@
   running_ += 1;
   counters_.rounds += 1;
   Round round{.job = &job->record, .number = ++last_round_, .ages_s = {}};
-  for (const AttemptRecord& attempt : job->record.attempts) {
+  for (AttemptRecord& attempt : job->record.attempts) {
+    attempt.number = AttemptRecord::kNoNumber;
     round.ages_s.push_back(
         hooks_.max_age_s(job->log, attempt.sequence == 0 ? job->last_write : attempt.sequence));
   }
@@ -270,8 +271,8 @@
   return it != jobs_.end() && hooks_.may_act(it->second.log);
 }
 
-void DurableJobQueue::RecordAttempt(double, const std::string& handle, const std::string& worker,
-                                    bool local_worker, std::function<void(bool)> on_recorded) {
+void DurableJobQueue::RecordAttempt(const std::string& handle, AttemptRecord attempt,
+                                    std::function<void(bool)> on_recorded) {
   const auto it = jobs_.find(handle);
   if (it == jobs_.end() || it->second.state != State::kRunning) return on_recorded(false);
   Job& job = it->second;
@@ -279,7 +280,8 @@
   if (!next.attempts.empty() && next.attempts.back().sequence == 0)
     next.attempts.back().sequence = job.last_write;
   if (next.attempts.size() >= kMaxAttempts) return on_recorded(false);
-  next.attempts.push_back({worker, local_worker, 0});
+  attempt.sequence = 0;
+  next.attempts.push_back(std::move(attempt));
   ReplicatedLogs::AppendError reason{};
   const SequenceNumber sequence = hooks_.append(job.log, handle, Encode(next), false, &reason);
   if (sequence == 0) return on_recorded(false);
@@ -291,7 +293,7 @@
 }
 
 void DurableJobQueue::OnRoundEnded(double now, const std::string& handle, RoundOutcome outcome,
-                                   double retry_after_s, const std::vector<std::string>& ran_at) {
+                                   double retry_after_s, const std::vector<int>& never_ran) {
   const auto it = jobs_.find(handle);
   if (it == jobs_.end() || it->second.state != State::kRunning) return;
   Job& job = it->second;
@@ -299,7 +301,8 @@
   job.outcome = outcome;
   if (outcome == RoundOutcome::kRejected) {
     std::erase_if(job.record.attempts, [&](const AttemptRecord& attempt) {
-      return std::find(ran_at.begin(), ran_at.end(), attempt.worker) == ran_at.end();
+      return attempt.number != AttemptRecord::kNoNumber &&
+             std::find(never_ran.begin(), never_ran.end(), attempt.number) != never_ran.end();
     });
     job.backoff_s = std::clamp(std::max(retry_after_s, 2 * job.backoff_s), limits_.retry_min_s,
                                limits_.retry_max_s);
--- a/src/copies/durable_job_queue.h
+++ b/src/copies/durable_job_queue.h
@@ -29,6 +29,10 @@
   std::string worker;
   bool local_worker = false;    // the worker connected to one node, and the others do not know it
   SequenceNumber sequence = 0;  // of the operation that recorded it first; 0: this operation
+  // Its number in the round that is running. Not stored: an attempt of an earlier round, of this
+  // process or another, has none.
+  int number = kNoNumber;
+  static constexpr int kNoNumber = -1;
 };
 
 // A durable job as its log stores it.
@@ -121,14 +125,16 @@
   // Calls `on_result` once, possibly before it returns. A job with the function and unique id of
   // a queued one is a duplicate of it, and gets its handle.
   void Submit(double now, JobRecord job, SubmitCallback on_result);
-  // Records an attempt of the current round; it may be sent once `on_recorded(true)` is called.
-  void RecordAttempt(double now, const std::string& handle, const std::string& worker,
-                     bool local_worker, std::function<void(bool)> on_recorded);
+  // Records an attempt of the current round, with a number that no other attempt of the round has;
+  // it may be sent once `on_recorded(true)` is called.
+  void RecordAttempt(const std::string& handle, AttemptRecord attempt,
+                     std::function<void(bool)> on_recorded);
   // Whether this process may act for the job now.
   bool MayAct(const std::string& handle) const;
-  // The round has ended. `ran_at`: workers where the job may have run, in this round or before it.
+  // The round has ended. `never_ran`: the numbers of its attempts that certainly never ran. They
+  // are erased from the job's record; all others stay, and those of earlier rounds always.
   void OnRoundEnded(double now, const std::string& handle, RoundOutcome outcome,
-                    double retry_after_s, const std::vector<std::string>& ran_at);
+                    double retry_after_s, const std::vector<int>& never_ran);
   // Starts jobs whose backoff has ended and repeats failed writes. To be called at NextTickAt().
   void Tick(double now);
   double NextTickAt() const;
--- a/src/core/planner_actions.cpp
+++ b/src/core/planner_actions.cpp
@@ -60,6 +60,7 @@
   entry->attempts[attempt].deferred = true;
   environment_->attempt_recorder()->Record(
       {.durable_job = entry->durable_job,
+       .number = static_cast<int>(attempt),
        .worker = worker,
        .local_worker = workers_.IsLocal(worker),
        .idempotent = IsIdempotent(*entry)},
--- a/src/core/planner_environment.h
+++ b/src/core/planner_environment.h
@@ -19,6 +19,7 @@
   // An attempt that is about to be sent.
   struct Attempt {
     std::string durable_job;  // the job's handle
+    int number = 0;           // within the request, as in FinalAnswer::never_ran
     std::string worker;
     bool local_worker = false;  // the worker is connected to this process and unknown to others
     bool idempotent = false;    // the job may run twice
--- a/src/core/planner_requests.cpp
+++ b/src/core/planner_requests.cpp
@@ -181,8 +181,9 @@
   deadlines_->Drop(&entry->expiry);
   CountAnswer(*entry, answer.kind);
   if (!entry->durable_job.empty()) {
-    for (const LedgerAttempt& attempt : entry->attempts) {
-      if (attempt.may_have_run && !attempt.deferred) answer.ran_at.push_back(attempt.worker);
+    for (std::size_t attempt = 0; attempt < entry->attempts.size(); ++attempt) {
+      if (entry->attempts[attempt].may_have_run && !entry->attempts[attempt].deferred) continue;
+      answer.never_ran.push_back(static_cast<int>(attempt));
     }
   }
   if (ForwarderPort* port = FindForwarder(id)) port->Answer(id, answer);
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -68,8 +68,9 @@
   Kind kind = Kind::kFailed;
   int attempt = -1;          // the attempt with the result, for kCompleted
   double retry_after_s = 0;  // seconds after which to retry, for kRejected; 0 if not given
-  // For a durable job: the workers that may have run it.
-  std::vector<std::string> ran_at = {};
+  // For a durable job: the numbers of those attempts of this request that certainly never ran. What
+  // is not named here, and every attempt of an earlier run, stays as it was recorded.
+  std::vector<int> never_ran = {};
 };
 
 // Whether an attempt with this outcome was certainly never started by its worker.
--- a/src/net/cluster/replicated_durable_jobs.cpp
+++ b/src/net/cluster/replicated_durable_jobs.cpp
@@ -140,18 +140,20 @@
                      answer.kind == Kind::kCompleted  ? DurableJobQueue::RoundOutcome::kCompleted
                      : answer.kind == Kind::kRejected ? DurableJobQueue::RoundOutcome::kRejected
                                                       : DurableJobQueue::RoundOutcome::kFailed,
-                     answer.retry_after_s, answer.ran_at);
+                     answer.retry_after_s, answer.never_ran);
   ScheduleTick();
 }
 
-void ReplicatedDurableJobs::RecordAttempt(const std::string& handle, const std::string& worker,
-                                          bool local_worker, bool repeatable,
-                                          std::function<void(bool)> then) {
-  if (repeatable) return then(jobs_.MayAct(handle));
-  jobs_.RecordAttempt(Member::Now(), handle, worker, local_worker,
-                      [this, handle, then = std::move(then)](bool recorded) {
-                        then(recorded && jobs_.MayAct(handle));
-                      });
+void ReplicatedDurableJobs::RecordAttempt(const AttemptRecorder::Attempt& attempt,
+                                          AttemptRecorder::DoneCallback then) {
+  const std::string& handle = attempt.durable_job;
+  if (attempt.idempotent) return then(jobs_.MayAct(handle));
+  jobs_.RecordAttempt(
+      handle,
+      {.worker = attempt.worker, .local_worker = attempt.local_worker, .number = attempt.number},
+      [this, handle, then = std::move(then)](bool recorded) {
+        then(recorded && jobs_.MayAct(handle));
+      });
 }
 
 void ReplicatedDurableJobs::Run(const DurableJobQueue::Round& round) {
--- a/src/net/cluster/replicated_durable_jobs.h
+++ b/src/net/cluster/replicated_durable_jobs.h
@@ -4,12 +4,12 @@
 #define MILLETHOLLOW_NET_CLUSTER_REPLICATED_DURABLE_JOBS_H_
 
 #include <cstdint>
-#include <functional>
 #include <string>
 #include <string_view>
 
 #include "copies/durable_job_queue.h"
 #include "core/durable_jobs.h"
+#include "core/planner_environment.h"
 #include "net/cluster/member.h"
 #include "net/loop.h"
 
@@ -43,9 +43,8 @@
   void Complete(const std::string& handle, const FinalAnswer& answer) override;
 
   // Records that the job is about to be sent to a worker, as AttemptRecorder::Record. Calls `then`
-  // with whether it may be sent. An attempt at a job that is `repeatable` is not recorded.
-  void RecordAttempt(const std::string& handle, const std::string& worker, bool local_worker,
-                     bool repeatable, std::function<void(bool)> then);
+  // with whether it may be sent. An attempt at an idempotent job is not recorded.
+  void RecordAttempt(const AttemptRecorder::Attempt& attempt, AttemptRecorder::DoneCallback then);
   std::string Metrics() const;  // one a line, in the format of GET /stats
 
  private:
--- a/src/node/node_environment.cpp
+++ b/src/node/node_environment.cpp
@@ -40,8 +40,7 @@
 
 void NodeEnvironment::Record(const AttemptRecorder::Attempt& attempt, DoneCallback done) {
   if (components_.durable_jobs == nullptr) return done(false);
-  components_.durable_jobs->RecordAttempt(attempt.durable_job, attempt.worker, attempt.local_worker,
-                                          attempt.idempotent, std::move(done));
+  components_.durable_jobs->RecordAttempt(attempt, std::move(done));
 }
 
 }  // namespace millethollow
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -84,6 +84,16 @@
     planner->OnRequest(request);
     return request.id;
   }
+  // A durable job of the class charge, with the attempts that were recorded before.
+  void SubmitDurableCharge(std::vector<PriorAttempt> prior_attempts) {
+    Request request;
+    request.id = forwarder << kForwarderShift | ++last_request;
+    request.class_index = 1;
+    request.key = request.durable_job = "H:t:1";
+    request.prior_attempts = std::move(prior_attempts);
+    request.expires_at = now + 5;
+    planner->OnRequest(request);
+  }
   double now = 1000;
   bool overdue = false;
   Config config;
@@ -123,6 +133,27 @@
   EXPECT_EQ(harness.port.sent[0].worker, "w2");
 }
 
+// Guards against an answer that says of an earlier run's attempt that it never ran, or does not say
+// it of an attempt that the worker rejected: by it the durable job's record is kept.
+TEST(Planner, NamesTheAttemptsOfADurableJobThatNeverRan) {
+  PlannerHarness harness;
+  harness.SubmitDurableCharge({{.worker = "w0", .age_s = 1}});
+  std::vector<int> rejected;
+  for (std::size_t n = 0; n < harness.port.sent.size(); ++n) {
+    const auto [id, attempt, worker] = harness.port.sent[n];
+    rejected.push_back(attempt);
+    harness.planner->OnAttemptEnded(id, attempt, {.status = AttemptStatus::kRejected});
+    for (int step = 0; step < 100 && harness.port.answers.empty(); ++step) {
+      harness.now += 0.01;
+      harness.deadlines.Sweep(harness.now);
+    }
+  }
+  ASSERT_EQ(harness.port.answers.size(), 1u);
+  EXPECT_FALSE(rejected.empty());
+  EXPECT_EQ(harness.port.answers[0].never_ran, rejected);
+  EXPECT_EQ(std::count(rejected.begin(), rejected.end(), 0), 0) << "0 is the earlier run's";
+}
+
 TEST(Planner, GivesExactlyOneFinalAnswer) {
   PlannerHarness harness;
   const RequestId id = harness.SubmitRequest(0);
