The handle of an HTTP request at a Gearman worker has ':e' in one literal again

Cause: made it of a prefix that ended in ':' and of "e". Change: the prefix ends with the number, and the log's handles= with it.

--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -20,7 +20,7 @@
 
 std::string HandlePrefix(const std::string& node_name, std::uint64_t process_number) {
   std::ostringstream prefix;
-  prefix << "H:" << node_name << ':' << std::hex << process_number << ':';
+  prefix << "H:" << node_name << ':' << std::hex << process_number;
   return prefix.str();
 }
 
--- a/src/net/gearman/jobs.cpp
+++ b/src/net/gearman/jobs.cpp
@@ -105,10 +105,10 @@
   peer->Send(Response(Type::kJobCreated, {job->handle}));
 }
 
-std::string Front::NewHandle() { return handle_prefix_ + std::to_string(++last_job_); }
+std::string Front::NewHandle() { return handle_prefix_ + ":" + std::to_string(++last_job_); }
 
 std::string Front::HandleOfRequest(RequestId id) const {
-  return handle_prefix_ + "e" + std::to_string(id);
+  return handle_prefix_ + ":e" + std::to_string(id);
 }
 
 void Front::AddJob(const std::shared_ptr<Job>& job, std::size_t bytes) {
