--- a/tests/cluster/quota_test.cpp
+++ b/tests/cluster/quota_test.cpp
@@ -10,11 +10,10 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <list>
-#include <map>
 #include <set>
 
 #include "support/cluster_harness.h"
+#include "support/quota_load.h"
 
 namespace millethollow::cluster_test {
 namespace {
@@ -23,8 +22,7 @@
 // Requests a second of the first tenant over all nodes: more than each node may admit, also while
 // others are partitioned off.
 constexpr double kQuotaRps = 120, kOfferedRps = 240;
-constexpr double kSecondTenantRps = 5;  // requests a second of the second tenant at each node
-constexpr double kWindowS = 5, kMaxOveruse = 1.05, kMinUse = 0.95;
+constexpr double kMaxOveruse = 1.05, kMinUse = 0.95;
 constexpr double kSettleS = 10;  // until each node has noticed that the fleet is full
 constexpr double kPartitionS = 60;
 constexpr double kQuotaChangeS = 9;  // until a changed quota is in force at all nodes
@@ -38,129 +36,6 @@
                          {"name": "pampa", "fraction": 0.5, "quota_rps": 3000}]})";
 }
 
-// Sends requests at a steady rate to each node and records when each was answered.
-class Load {
- public:
-  explicit Load(ClusterHarness* harness)
-      : harness_(harness),
-        rates_(harness->size(), 0.0),
-        due_(harness->size(), 0.0),
-        other_due_(harness->size(), 0.0),
-        last_(harness->now()) {}
-
-  // Divides a rate, in requests a second, evenly over these nodes; the others get none.
-  void SetRates(const std::vector<std::size_t>& nodes, double all) {
-    std::fill(rates_.begin(), rates_.end(), 0.0);
-    for (const std::size_t node : nodes) rates_[node] = all / static_cast<double>(nodes.size());
-  }
-  void RunLoad(double span) {
-    harness_->RunUntil([this] { return Step(), false; }, span);
-  }
-  bool RunLoadUntil(const std::function<bool()>& done, double timeout_s) {
-    return harness_->RunUntil([&] { return Step(), done(); }, timeout_s);
-  }
-  // The highest rate admitted within any kWindowS from `from` on, as a fraction of the quota.
-  double PeakOver(double from, double quota = kQuotaRps) const {
-    double peak = 0;
-    auto first = std::lower_bound(admitted_at_.begin(), admitted_at_.end(), from);
-    for (auto last = first; last != admitted_at_.end(); ++last) {
-      while (*last - *first > kWindowS) ++first;
-      peak = std::max(peak, static_cast<double>(last - first + 1) / (kWindowS * quota));
-    }
-    return peak;
-  }
-  // The fraction of the quota that was used from `from` to `until`.
-  double Use(double from, double until) const {
-    const auto first = std::lower_bound(admitted_at_.begin(), admitted_at_.end(), from);
-    const auto last = std::lower_bound(admitted_at_.begin(), admitted_at_.end(), until);
-    return static_cast<double>(last - first) / ((until - from) * kQuotaRps);
-  }
-  void PrintUse(double from) const {
-    std::printf("  use by the second:");
-    for (double at = from; at < harness_->now(); at += 1) std::printf(" %.2f", Use(at, at + 1));
-    std::printf("\n");
-    for (const auto& [node, times] : admitted_at_by_node_) {
-      std::printf("  %s:", ClusterHarness::Name(node).c_str());
-      for (double at = from; at < harness_->now(); at += 1) {
-        const auto first = std::lower_bound(times.begin(), times.end(), at);
-        std::printf(" %ld", std::lower_bound(first, times.end(), at + 1) - first);
-      }
-      std::printf("\n");
-    }
-  }
-  // Seconds from `from` until the use over 2 s first reaches kMinUse; negative if that takes longer
-  // than `max_delay_s`.
-  double RecoveryTime(double from, double max_delay_s) const {
-    constexpr double kSpan = 2, kStep = 0.05;
-    for (double at = 0; at <= max_delay_s; at += kStep) {
-      if (Use(from + at, from + at + kSpan) >= kMinUse) return at;
-    }
-    return -1;
-  }
-  // Requests of the first tenant that were neither served nor rejected, and requests of the second
-  // tenant that were rejected.
-  std::size_t failed() const { return failed_; }
-  std::size_t other_rejected() const { return other_rejected_; }
-  std::size_t rejected() const { return rejected_; }
-
- private:
-  struct Open {
-    std::unique_ptr<RawClient> raw;
-    double at = 0;
-    bool other = false;  // of the second tenant
-    std::size_t node = 0;
-  };
-  void Step() {
-    const double now = harness_->now();
-    for (std::size_t node = 0; node < rates_.size(); ++node) {
-      due_[node] += rates_[node] * (now - last_);
-      other_due_[node] += kSecondTenantRps * (now - last_);
-      for (; due_[node] >= 1; due_[node] -= 1) Send(node, now, false);
-      for (; other_due_[node] >= 1; other_due_[node] -= 1) Send(node, now, true);
-    }
-    last_ = now;
-    std::erase_if(open_, [&](Open& open) { return Answered(open, now); });
-  }
-  void Send(std::size_t node, double now, bool other) {
-    if (!harness_->Serves(node)) return;
-    // The hint makes requests distinct: a repeated request counts only once as demand.
-    const std::string id = std::to_string(++sent_);
-    Open& open = open_.emplace_back();
-    open.at = now;
-    open.other = other;
-    open.node = node;
-    open.raw = std::make_unique<RawClient>(&harness_->loop(), harness_->http_address(node));
-    std::string request =
-        Post("q" + id, "look", "Work-Hint: " + std::to_string(1000 + sent_) + "\r\n");
-    const std::string first = "Tenant: andes";
-    if (other) request.replace(request.find(first), first.size(), "Tenant: pampa");
-    open.raw->Write(request);
-  }
-  bool Answered(const Open& open, double now) {
-    const std::string& in = open.raw->received;
-    if (in.find("\r\n\r\n") == std::string::npos) return open.raw->ended || now - open.at > 5;
-    const bool rejected = in.find("HTTP/1.1 503") == 0;
-    const bool failed = !rejected && in.find("HTTP/1.1 200") != 0;
-    if (open.other) {
-      other_rejected_ += rejected;
-    } else {
-      rejected_ += rejected;
-      failed_ += failed;
-      if (!rejected) admitted_at_.push_back(now);
-      if (!rejected) admitted_at_by_node_[open.node].push_back(now);
-    }
-    return true;
-  }
-
-  ClusterHarness* harness_;
-  std::vector<double> rates_, due_, other_due_;
-  double last_;
-  std::size_t sent_ = 0, rejected_ = 0, failed_ = 0, other_rejected_ = 0;
-  std::list<Open> open_;
-  std::vector<double> admitted_at_;
-  std::map<std::size_t, std::vector<double>> admitted_at_by_node_;
-};
-
 struct QuotaNodes : ::testing::Test {
   void StartCluster(const std::string& cluster, bool peers = false) {
     load.reset();
@@ -178,7 +53,7 @@
     }
     harness->StartAll();
     ASSERT_TRUE(harness->RunUntil([&] { return harness->Converged(); }, 20)) << Describe();
-    load = std::make_unique<Load>(harness.get());
+    load = std::make_unique<QuotaLoad>(harness.get(), kQuotaRps);
   }
   // The first attempt of each request is rejected, so that the fleet counts as full; the second is
   // served.
@@ -222,14 +97,14 @@
     std::printf(
         "%s: peak over any %.0f s %.3f of the quota, use %.3f, rejected %zu, failed %zu; other "
         "tenant rejected %zu\n",
-        what, kWindowS, peak, load->Use(from, harness->now()), load->rejected(), load->failed(),
-        load->other_rejected());
+        what, QuotaLoad::kWindowS, peak, load->Use(from, harness->now()), load->rejected(),
+        load->failed(), load->other_rejected());
     load->PrintUse(from);
     EXPECT_LE(peak, kMaxOveruse) << what;
     EXPECT_EQ(load->failed(), 0U) << what;
   }
   std::unique_ptr<ClusterHarness> harness;
-  std::unique_ptr<Load> load;
+  std::unique_ptr<QuotaLoad> load;
   std::set<std::string> attempted_ids;
 };
 
@@ -244,13 +119,13 @@
     const double moved_at = harness->now();
     load->SetRates(NodesOfZone(1), kOfferedRps);
     load->RunLoad(10);
-    recovery_s[leased] = load->RecoveryTime(moved_at, 8);
+    recovery_s[leased] = load->RecoveryTime(moved_at, 8, kMinUse);
     use[leased] = load->Use(moved_at + 5, moved_at + 10);
     std::printf(
         "%s: 0.95 again after %.2f s, use from the 5th to the 10th second %.3f, most over any 5 s "
         "%.3f\n",
         leased ? "leased" : "not leased", recovery_s[leased], use[leased],
-        load->PeakOver(moved_at - kWindowS));
+        load->PeakOver(moved_at - QuotaLoad::kWindowS));
     load->PrintUse(moved_at - 3);
     for (std::size_t i = 0; leased && i < kMembers; ++i) {
       std::printf("  %s holds %ld of both tenants\n", ClusterHarness::Name(i).c_str(),
@@ -328,8 +203,8 @@
   load->RunLoad(kSettleS);
   const double peak = load->PeakOver(from, kLowered),
                used = load->Use(from, harness->now()) * kQuotaRps / kLowered;
-  std::printf("lowered to %.0f: most over any %.0f s %.3f, use %.3f of it\n", kLowered, kWindowS,
-              peak, used);
+  std::printf("lowered to %.0f: most over any %.0f s %.3f, use %.3f of it\n", kLowered,
+              QuotaLoad::kWindowS, peak, used);
   EXPECT_LE(peak, kMaxOveruse);
   EXPECT_GE(used, kMinUse);
   change(kQuotaRps);
