Quota tests subtract what buckets saved in a pause of all answers, and print pauses

Cause: while nothing arrives, token buckets save their rate; what was due then arrives at once and is admitted. A pause of 0.3 s is 0.06 over 5 s. docs/cluster.md names this as not promised ('a bucket's depth on top: half a second of the rate and a few requests a node'); the check counted it, as the load was taken to be steady. The output could not tell a pause from too much admitted.

Change: a time without any answer of any node is a pause; what may have been saved in the last half second before a window is subtracted from it. Without a pause the check is what it was; the bound stays 1.05. Pauses are printed with how long the load generator itself stalled.

--- a/tests/support/quota_load.h
+++ b/tests/support/quota_load.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "support/cluster_harness.h"
+#include "support/peak_use.h"
 
 namespace millethollow::cluster_test {
 
@@ -30,7 +31,8 @@
   // Runs until `done`; false on timeout.
   bool RunLoadUntil(const std::function<bool()>& done, double timeout_s);
 
-  // The highest rate admitted within any kWindowS from `from` on, as a fraction of the quota.
+  // The highest rate admitted within any kWindowS from `from` on, as a fraction of the quota,
+  // without what token buckets saved while nothing was answered (PeakUse).
   double PeakOver(double from) const { return PeakOver(from, quota_rps_); }
   double PeakOver(double from, double quota_rps) const;
   // The fraction of the quota that was used from `from` to `until`.
@@ -38,7 +40,7 @@
   // Seconds from `from` until the use over 2 s first reaches `min_use`; negative if that takes
   // longer than `max_delay_s`.
   double RecoveryTime(double from, double max_delay_s, double min_use) const;
-  // Prints the use by the second, in all and by node.
+  // Prints the use by the second, in all and by node, and the pauses.
   void PrintUse(double from) const;
 
   // Requests of the first tenant that were neither served nor rejected, those that were rejected,
@@ -58,11 +60,16 @@
   void Send(std::size_t node, double now, bool of_second_tenant);
   // Records the answer if there is one; false while the request is open.
   bool CollectAnswer(const OpenRequest& request, double now);
+  // To be called for each answer.
+  void RecordPause(double now);
 
   ClusterHarness* harness_;
   double quota_rps_;
   std::vector<double> rates_, due_, second_tenant_due_;
   double stepped_at_;
+  double longest_step_s_ = 0;  // since the last answer
+  double answered_at_ = 0;     // time of the last answer; 0 before the first
+  std::vector<AnswerPause> pauses_;
   std::size_t sent_ = 0, rejected_ = 0, failed_ = 0, other_rejected_ = 0;
   std::list<OpenRequest> open_;
   std::vector<double> admitted_at_;
