JSON from outside is read in place, so that its depth ends no process

What callers saw: a node's process ended by SIGSEGV, and with it every request it held.

Cause: a worker's result that is no string, and a load report, were written out by the JSON library's dump(), which calls itself for each level. A worker may send 256 KB in an answer, so 120,000 levels; more than the stack holds. Related code with the same cause: a configuration was copied and written out level by level (at SIGHUP too), and the tree built of discovery's answer (up to 4 MB) took far more memory than the bytes read.

Change: encoding::JsonValue checks a text without recursion and hands out parts of it. Lines and load reports of workers and lists of discovery are read by it; no tree is built. A result that is no string reaches the client as the worker wrote it (before: without spaces, members sorted). A list of more than 65,536 entries is unusable. Configurations nested deeper than 64 levels are rejected with one line. An unfinished line of a worker is searched for its end once, not again with each piece.

JsonValue.* are new.

--- a/src/config/cluster.cpp
+++ b/src/config/cluster.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "config/json_object.h"
 #include "config/keys.h"
 
 namespace millethollow {
@@ -147,8 +148,9 @@
 }
 
 bool ReadCluster(std::string_view text, ClusterOptions* options, std::string* error) {
-  const Json root = Json::parse(text, nullptr, false, true);
-  if (!root.is_object()) return *error = "configuration: not a JSON object", false;
+  const std::optional<Json> parsed_text = ParseJsonObject(text, error);
+  if (!parsed_text) return false;
+  const Json& root = *parsed_text;
   const auto section = root.find("cluster");
   if (section == root.end() || section->is_null()) return true;
   ClusterOptions parsed;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 
 #include "config/address.h"
 #include "config/cluster.h"
+#include "config/json_object.h"
 #include "config/scheduling.h"
 #include "simulator_adapter/settings_reader.h"
 
@@ -128,8 +129,9 @@
 }  // namespace
 
 bool ReadConfig(std::string_view text, Config* config, std::string* error) {
-  const Json root = Json::parse(text, nullptr, false, true);
-  if (!root.is_object()) return *error = "configuration: not a JSON object", false;
+  const std::optional<Json> parsed_text = ParseJsonObject(text, error);
+  if (!parsed_text) return false;
+  const Json& root = *parsed_text;
   const Json settings = ObjectOrEmpty(root, "settings"), limits = ObjectOrEmpty(settings, "limits");
   std::string seed;
   if (root.contains("seed") && root["seed"].is_string()) {
--- a/src/config/reload.cpp
+++ b/src/config/reload.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "config/json_object.h"
 namespace millethollow {
 namespace {
 
@@ -95,10 +96,11 @@
 
 bool CheckNoKeyMissing(std::string_view current_text, std::string_view new_text,
                        std::string* error) {
-  const Json before = Json::parse(current_text, nullptr, false, true);
-  const Json after = Json::parse(new_text, nullptr, false, true);
-  if (!after.is_object()) return *error = "configuration: not a JSON object", false;
-  return !before.is_object() || CheckKeys(before, after, "", error);
+  std::string ignored_error;
+  const std::optional<Json> before = ParseJsonObject(current_text, &ignored_error);
+  const std::optional<Json> after = ParseJsonObject(new_text, error);
+  if (!after) return false;
+  return !before || CheckKeys(*before, *after, "", error);
 }
 
 ClassChanges MergeClasses(const Config& new_config, const std::function<bool(int)>& in_use,
--- a/src/config/scheduling.cpp
+++ b/src/config/scheduling.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/json_object.h"
 #include "config/keys.h"
 
 namespace millethollow {
@@ -16,8 +17,9 @@
 
 bool ReadScheduling(std::string_view text, const std::vector<std::string>& classes,
                     scheduling::Options* options, std::string* error) {
-  const Json root = Json::parse(text, nullptr, false, true);
-  if (!root.is_object()) return *error = "configuration: not a JSON object", false;
+  const std::optional<Json> parsed_text = ParseJsonObject(text, error);
+  if (!parsed_text) return false;
+  const Json& root = *parsed_text;
   const auto section = root.find("scheduling");
   if (section == root.end() || section->is_null()) return true;
   scheduling::Options parsed = *options;
@@ -71,9 +73,9 @@
   std::stringstream text;
   if (!input || !(text << input.rdbuf()))
     return *error = "configuration: cannot read " + path, false;
-  const Json root = Json::parse(text.str(), nullptr, false, true);
-  if (!root.is_object()) return *error = "configuration: not a JSON object: " + path, false;
-  for (const auto& [key, value] : root.items()) {
+  const std::optional<Json> root = ParseJsonObject(text.str(), error);
+  if (!root) return *error += ": " + path, false;
+  for (const auto& [key, value] : root->items()) {
     if (key != "scheduling") return *error = "configuration: unknown key '" + key + "'", false;
   }
   return ReadScheduling(text.str(), classes, options, error);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,8 +1,8 @@
 #include "net/discovery.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
+#include "encoding/json_value.h"
 #include "logging/log.h"
 #include "net/connection.h"
 #include "net/http/parser.h"
@@ -11,7 +11,7 @@
 
 using balancing::EndpointListKind;
 using balancing::Readiness;
-using Json = nlohmann::json;
+using encoding::JsonValue;
 
 namespace {
 
@@ -49,22 +49,85 @@
 constexpr double kAddressChangeDeliveryS = 4.0;
 constexpr double kAddressChangeRetryS = 0.15;
 
+// Most entries of a list that is used.
+constexpr std::size_t kMaxListEntries = 65'536;
+
+// The members of a list's entry; unset where the entry has none of the name.
+struct EntryFields {
+  std::optional<JsonValue> id, address, max_in_flight, state, zone, kind, cell, weight, slots,
+      memory, started_ms;
+};
+
+EntryFields ReadEntryFields(JsonValue entry) {
+  EntryFields fields;
+  const std::pair<std::string_view, std::optional<JsonValue>*> members[] = {
+      {"id", &fields.id},
+      {"addr", &fields.address},
+      {"max_out", &fields.max_in_flight},
+      {"state", &fields.state},
+      {"zone", &fields.zone},
+      {"kind", &fields.kind},
+      {"cell", &fields.cell},
+      {"weight", &fields.weight},
+      {"slots", &fields.slots},
+      {"memory", &fields.memory},
+      {"started_ms", &fields.started_ms}};
+  entry.ForEachMember([&](const std::string& name, JsonValue value) {
+    for (const auto& [member_name, field] : members) {
+      if (name == member_name) *field = value;
+    }
+  });
+  return fields;
+}
+
+// The field as text; `fallback` if it is missing or of another type.
+std::string Text(const std::optional<JsonValue>& field, const char* fallback) {
+  const std::optional<std::string> text = field ? field->String() : std::nullopt;
+  return text ? *text : fallback;
+}
+
+// The field as a number, bounded so that any value fits an integer of 64 bits.
+double Number(const std::optional<JsonValue>& field, double fallback) {
+  constexpr double kMaxNumber = 1e15;
+  const std::optional<double> number = field ? field->Number() : std::nullopt;
+  return number ? std::clamp(*number, -kMaxNumber, kMaxNumber) : fallback;
+}
+
 // The index that the field gives, as a number or by name; 0 if it is missing or unknown.
-int IndexOf(const std::vector<std::string>& names, const Json& entry, const char* field) {
-  const auto it = entry.find(field);
-  if (it == entry.end()) return 0;
-  if (it->is_number_integer()) return it->get<int>();
-  if (!it->is_string()) return 0;
-  const auto position = std::find(names.begin(), names.end(), it->get_ref<const std::string&>());
+int IndexOf(const std::vector<std::string>& names, const std::optional<JsonValue>& field) {
+  constexpr double kMaxIndex = 1e9;
+  if (field && field->is_integer())
+    return static_cast<int>(std::clamp(*field->Number(), -kMaxIndex, kMaxIndex));
+  const std::optional<std::string> name = field ? field->String() : std::nullopt;
+  if (!name) return 0;
+  const auto position = std::find(names.begin(), names.end(), *name);
   return position == names.end() ? 0 : static_cast<int>(position - names.begin());
 }
 
-// The field as a number, bounded so that any value fits an integer.
-double Number(const Json& entry, const char* field, double fallback) {
-  constexpr double kMaxNumber = 1e15;
-  const auto it = entry.find(field);
-  if (it == entry.end() || !it->is_number()) return fallback;
-  return std::clamp(it->get<double>(), -kMaxNumber, kMaxNumber);
+// Parses an entry of a list; nullopt without an id.
+std::optional<ListEntry> ReadListEntry(JsonValue value, const std::vector<std::string>& zones,
+                                       const std::vector<std::string>& kinds) {
+  const EntryFields fields = ReadEntryFields(value);
+  if (!fields.id || !fields.id->is_string()) return std::nullopt;
+  ListEntry entry;
+  entry.endpoint.worker = *fields.id->String();
+  entry.address = Text(fields.address, "");
+  entry.max_in_flight =
+      static_cast<std::size_t>(std::clamp(Number(fields.max_in_flight, 0), 0.0, 1e6));
+  const std::string state = Text(fields.state, "in_service");
+  // A worker in an unknown state gets no new requests, as one that is draining.
+  entry.endpoint.readiness = state == "in_service"   ? Readiness::kReady
+                             : state == "terminated" ? Readiness::kGone
+                                                     : Readiness::kDraining;
+  entry.endpoint.zone = IndexOf(zones, fields.zone);
+  entry.endpoint.kind = IndexOf(kinds, fields.kind);
+  entry.endpoint.cell = static_cast<int>(std::clamp(Number(fields.cell, 0), -1e9, 1e9));
+  entry.endpoint.capacity_hint = Number(fields.weight, 1.0);
+  entry.endpoint.slots = std::clamp(Number(fields.slots, 0), 0.0, 1e6);
+  entry.endpoint.memory = std::clamp(Number(fields.memory, 0), 0.0, 1e12);
+  entry.endpoint.started_at_s =
+      Number(fields.started_ms, 0) / 1000;  // the loop's clock is Unix time
+  return entry;
 }
 
 }  // namespace
@@ -78,40 +141,26 @@
 bool ReadEndpointList(std::string_view text, const std::vector<std::string>& zones,
                       const std::vector<std::string>& kinds, EndpointList* list,
                       std::string* error) {
-  const Json object = Json::parse(text, nullptr, false);
-  if (!object.is_object()) return *error = "the list is not a JSON object", false;
-  const auto servers = object.find("servers");
-  if (servers == object.end() || !servers->is_array()) {
-    return *error = "the list has no array 'servers'", false;
-  }
-  list->version = static_cast<long long>(Number(object, "version", 0));
-  const auto full = object.find("full");
-  list->full = full != object.end() && full->is_boolean() && full->get<bool>();
-  for (const Json& server : *servers) {
-    if (!server.is_object() || !server.contains("id") || !server["id"].is_string()) continue;
-    ListEntry entry;
-    entry.endpoint.worker = server["id"].get<std::string>();
-    if (server.contains("addr") && server["addr"].is_string())
-      entry.address = server["addr"].get<std::string>();
-    entry.max_in_flight =
-        static_cast<std::size_t>(std::clamp(Number(server, "max_out", 0), 0.0, 1e6));
-    const std::string state = server.contains("state") && server["state"].is_string()
-                                  ? server["state"].get<std::string>()
-                                  : std::string("in_service");
-    // A worker in an unknown state gets no new requests, as one that is draining.
-    entry.endpoint.readiness = state == "in_service"   ? Readiness::kReady
-                               : state == "terminated" ? Readiness::kGone
-                                                       : Readiness::kDraining;
-    entry.endpoint.zone = IndexOf(zones, server, "zone");
-    entry.endpoint.kind = IndexOf(kinds, server, "kind");
-    entry.endpoint.cell = static_cast<int>(std::clamp(Number(server, "cell", 0), -1e9, 1e9));
-    entry.endpoint.capacity_hint = Number(server, "weight", 1.0);
-    entry.endpoint.slots = std::clamp(Number(server, "slots", 0), 0.0, 1e6);
-    entry.endpoint.memory = std::clamp(Number(server, "memory", 0), 0.0, 1e12);
-    entry.endpoint.started_at_s =
-        Number(server, "started_ms", 0) / 1000;  // the loop's clock is Unix time
-    list->entries.push_back(std::move(entry));
-  }
+  const std::optional<JsonValue> object = JsonValue::Parse(text);
+  if (!object || !object->is_object()) return *error = "the list is not a JSON object", false;
+  std::optional<JsonValue> servers, version, full;
+  object->ForEachMember([&](const std::string& name, JsonValue value) {
+    if (name == "servers") servers = value;
+    if (name == "version") version = value;
+    if (name == "full") full = value;
+  });
+  if (!servers || !servers->is_array()) return *error = "the list has no array 'servers'", false;
+  list->version = static_cast<long long>(Number(version, 0));
+  list->full = full && full->Boolean().value_or(false);
+  bool too_long = false;
+  servers->ForEachElement([&](JsonValue server) {
+    if (std::optional<ListEntry> entry = ReadListEntry(server, zones, kinds)) {
+      list->entries.push_back(*std::move(entry));
+    }
+    too_long = list->entries.size() > kMaxListEntries;
+    return !too_long;
+  });
+  if (too_long) return *error = "the list has too many entries", false;
   return true;
 }
 
--- a/src/net/http/worker_pool.cpp
+++ b/src/net/http/worker_pool.cpp
@@ -3,14 +3,14 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <nlohmann/json.hpp>
 
+#include "encoding/json_value.h"
 #include "logging/log.h"
 
 namespace millethollow::http {
 namespace {
 
-using Json = nlohmann::json;
+using encoding::JsonValue;
 constexpr std::size_t kMaxResponseBytes = 256 * 1024;  // of one response
 constexpr double kResponseEndTimeoutS = 1.0;           // from an outcome to the end of its response
 // A faulty worker may send a second response some milliseconds after the first. An error response
@@ -24,6 +24,11 @@
   return status >= 400 && status < 500 && status != 408 && status != 425 && status != 429;
 }
 
+// The text of a JSON string; nullopt if there is no value, or one of another type.
+std::optional<std::string> TextOf(const std::optional<JsonValue>& value) {
+  return value ? value->String() : std::nullopt;
+}
+
 }  // namespace
 
 void ReadReport(std::string_view text, const std::vector<std::string>& columns, Outcome* outcome) {
@@ -38,11 +43,11 @@
     text.remove_suffix(1);
   }
   if (text.starts_with('{')) {
-    const Json object = Json::parse(text, nullptr, false);
-    if (!object.is_object()) return;
-    for (const auto& [name, value] : object.items()) {
-      if (value.is_number()) store(name, value.get<double>());
-    }
+    const std::optional<JsonValue> object = JsonValue::Parse(text);
+    if (!object) return;
+    object->ForEachMember([&](const std::string& name, JsonValue value) {
+      if (const std::optional<double> number = value.Number()) store(name, *number);
+    });
     return;
   }
   while (!text.empty()) {
@@ -62,33 +67,28 @@
 
 JobLine ReadJobLine(std::string_view line, std::string_view id) {
   JobLine parsed;
-  const Json object = Json::parse(line, nullptr, false);
-  if (!object.is_object()) return parsed;
+  const std::optional<JsonValue> object = JsonValue::Parse(line);
+  if (!object) return parsed;
   // A line with another job's id must not be taken for this attempt's.
-  const auto job_id = object.find("id");
-  if (job_id == object.end() || !job_id->is_string() ||
-      job_id->get_ref<const std::string&>() != id) {
-    return parsed;
-  }
-  const auto state = object.find("state");
-  if (state == object.end() || !state->is_string()) return parsed;
-  if (const auto load = object.find("load"); load != object.end() && load->is_object()) {
-    parsed.load = load->dump();
+  if (TextOf(object->Find("id")) != id) return parsed;
+  const std::optional<std::string> state = TextOf(object->Find("state"));
+  if (!state) return parsed;
+  if (const auto load = object->Find("load"); load && load->is_object()) {
+    parsed.load = load->text();
   }
-  const auto& name = state->get_ref<const std::string&>();
   using Kind = JobLine::Kind;
-  if (name == "done") {
-    const auto result = object.find("result");
-    if (result == object.end()) return parsed;
-    parsed.result = result->is_string() ? result->get<std::string>() : result->dump();
+  if (*state == "done") {
+    const std::optional<JsonValue> result = object->Find("result");
+    if (!result) return parsed;
+    parsed.result = result->is_string() ? *result->String() : std::string(result->text());
     parsed.kind = Kind::kDone;
   } else {
-    parsed.kind = name == "started"    ? Kind::kStarted
-                  : name == "running"  ? Kind::kRunning
-                  : name == "failed"   ? Kind::kFailed
-                  : name == "returned" ? Kind::kReturned
-                  : name == "lost"     ? Kind::kLost
-                                       : Kind::kUnreadable;
+    parsed.kind = *state == "started"    ? Kind::kStarted
+                  : *state == "running"  ? Kind::kRunning
+                  : *state == "failed"   ? Kind::kFailed
+                  : *state == "returned" ? Kind::kReturned
+                  : *state == "lost"     ? Kind::kLost
+                                         : Kind::kUnreadable;
   }
   return parsed;
 }
@@ -264,9 +264,10 @@
   // end.
   void ReadCompleteLines() {
     if (!parser_.head_done() || parser_.head().status != 200 || request_id_ == 0) return;
+    const std::size_t searched = line_.size();
     line_ += parser_.TakeBody();
     std::size_t start = 0;
-    for (std::size_t end = line_.find('\n'); end != std::string::npos && !reported_;
+    for (std::size_t end = line_.find('\n', searched); end != std::string::npos && !reported_;
          end = line_.find('\n', start)) {
       HandleLine(std::string_view(line_).substr(start, end - start));
       if (closed()) return;
--- a/src/net/http/worker_pool.h
+++ b/src/net/http/worker_pool.h
@@ -111,7 +111,7 @@
     kLost
   };
   Kind kind = Kind::kUnreadable;
-  std::string result;  // of kDone; JSON unless the worker sent a string
+  std::string result;  // of kDone; as it stands in the line unless it is a JSON string
   std::string load;    // the load report in the line, as JSON; empty: none
 };
 // Parses one line of a response to the attempt with request id `id`. A line that is malformed or
