One check for the peer's close per connection, dropped when input goes on

What callers saw: a process could end by SIGSEGV some time after a client that sends ahead had left.

Cause: Connection sets a timer when it pauses input, and kept the id of the last one only. When input went on and paused again within 50 ms, the earlier timer stayed: it set itself again without end, no longer known to Close and the destructor, and read the connection after it was freed. What it does there depends on who has the memory then, so the fault shows rarely and far from its cause.

Change: the timer is dropped when input goes on, so that there is one at most. Consume on a closed connection does nothing.

Evidence: PipelinedRequests.LeaveNothingBehindWhenTheyAreSentFasterThanAnswered on the commit before: heap-use-after-free in the timer's callback, freed by ~ClientConnection; passes now.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -48,13 +48,7 @@
         auto* self = static_cast<Connection*>(arg);
         if (self->closed()) return;
         self->OnRead();
-        // Input is paused here instead of by libevent's read watermark: with deferred callbacks, a
-        // reader that leaves bytes above the watermark is called again at once, so that the turn of
-        // the loop never ends.
-        if (self->Available() < kMaxBufferedBytes || self->input_paused_) return;
-        self->input_paused_ = true;
-        bufferevent_disable(self->bufferevent_.get(), EV_READ);
-        self->CheckForPeerClose();
+        if (self->Available() >= kMaxBufferedBytes) self->PauseInput();
       },
       [](bufferevent*, void* arg) {
         // libevent also calls this when a new socket becomes writable, when output may already be
@@ -99,13 +93,26 @@
   bufferevent_priority_set(bufferevent_.get(), Loop::kHighPriority);
 }
 
+void Connection::PauseInput() {
+  if (input_paused_) return;
+  input_paused_ = true;
+  bufferevent_disable(bufferevent_.get(), EV_READ);
+  CheckForPeerClose();
+}
+
+void Connection::ResumeInput() {
+  if (!input_paused_) return;
+  input_paused_ = false;
+  loop_->deadlines().Drop(&peer_close_check_);
+  bufferevent_enable(bufferevent_.get(), EV_READ);
+}
+
 // While input is paused, libevent does not report the end of the stream behind the buffered bytes:
 // without this check, a peer that sent much and disconnected would be taken for one that still
 // waits for its response.
 void Connection::CheckForPeerClose() {
   peer_close_check_ = loop_->deadlines().At(loop_->Now() + kPeerCloseCheckIntervalS, [this] {
     peer_close_check_ = Deadlines::kNone;
-    if (closed() || !input_paused_) return;
     pollfd poll_request{.fd = descriptor(), .events = POLLRDHUP, .revents = 0};
     if (poll(&poll_request, 1, 0) > 0) return OnEnd("peer-closed");
     CheckForPeerClose();
@@ -185,11 +192,10 @@
 }
 
 void Connection::Consume(std::size_t bytes) {
+  if (bufferevent_ == nullptr) return;
   bytes_in_ += bytes;
   evbuffer_drain(bufferevent_get_input(bufferevent_.get()), bytes);
-  if (!input_paused_ || Available() >= kMaxBufferedBytes) return;
-  input_paused_ = false;
-  bufferevent_enable(bufferevent_.get(), EV_READ);
+  if (Available() < kMaxBufferedBytes) ResumeInput();
 }
 
 void Connection::StopReading() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -112,6 +112,11 @@
 
  private:
   void Attach(evutil_socket_t fd);
+  // Input is paused and resumed here instead of by libevent's read watermark: with deferred
+  // callbacks, a reader that leaves bytes above the watermark is called again at once, so that the
+  // turn of the loop never ends.
+  void PauseInput();
+  void ResumeInput();
   // Polls for the peer's close while reading is paused.
   void CheckForPeerClose();
 
