--- a/tests/hostile_input_test.cpp
+++ b/tests/hostile_input_test.cpp
@@ -2,7 +2,11 @@
 // process of its own: it must neither end the process, nor take its memory, nor hold up others.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "support/node_process.h"
 
@@ -71,5 +75,140 @@
   EXPECT_LT(node.LookUpSeconds(), 1);
 }
 
+// Guards against a second run of a request under its old id, after one connection has sent more
+// refused jobs than ids were remembered.
+TEST(RequestIds, AreNotFreedByAFloodOfRefusedJobs) {
+  constexpr int kJobs = 4'500;
+  NodeProcess node(1);
+  int runs = 0;
+  node.workers[0]->on_request = [&](const FakeWorker::ReceivedRequest& request) {
+    const std::string* id = request.head.Get("Request-Id");
+    if (*id != "a1") {
+      request.from->Write(
+          "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    ++runs;
+    FakeWorker::RespondWithResult(request, "ok");
+  };
+  ASSERT_TRUE(node.Exchange(Post("a1", "look"), "\r\n\r\nok").starts_with("HTTP/1.1 200 "));
+  const auto client = node.Gearman();
+  for (int i = 0; i < kJobs; ++i) {
+    client->Send(gearman::Type::kSubmitJob, {"look", "u" + std::to_string(i), ""});
+  }
+  EXPECT_TRUE(node.Until(
+      [&] { return client->ResponsesOf(gearman::Type::kWorkFail).size() == kJobs; }, 60));
+  const std::string again = node.Exchange(Post("a1", "look"), "\r\n\r\n");
+  EXPECT_TRUE(again.starts_with("HTTP/1.1 409 ")) << again;
+  EXPECT_EQ(runs, 1);
+}
+
+// Guards against attempts for a client that has closed its connection with much still unread: the
+// node did not see the close behind more bytes than the system holds for it.
+TEST(PipelinedRequests, OfAClientThatHasLeftAreNotSentOn) {
+  constexpr std::size_t kSentAheadBytes = 40 * 1024 * 1024;
+  constexpr double kCloseNoticedS = 0.5;
+  NodeProcess node(1);
+  node.workers[0]->on_request = [](const FakeWorker::ReceivedRequest&) {};  // never answers
+  auto client = node.Client();
+  client->Write(Post("a1", "look"));
+  ASSERT_TRUE(node.Until([&] { return node.workers[0]->requests.size() == 1; }));
+  std::string ahead;
+  while (ahead.size() < kSentAheadBytes) ahead += Post("b" + std::to_string(ahead.size()), "look");
+  client->Write(ahead);
+  node.RunFor(0.5);
+  client->Close("test");
+  EXPECT_TRUE(node.Until([&] { return node.workers[0]->AllConnectionsEnded(); }, kCloseNoticedS));
+  node.RunFor(0.5);
+  EXPECT_EQ(node.workers[0]->requests.size(), 1u);
+}
+
+// Guards against memory by the number of a head's fields: each took some sixteen times its bytes.
+TEST(HeaderFields, AreLimitedInNumber) {
+  NodeProcess node(1);
+  const auto request = [](int fields) {
+    std::string text = "GET /_health HTTP/1.1\r\nHost: s\r\n";
+    for (int i = 0; i < fields; ++i) text += "a:\r\n";
+    return text + "\r\n";
+  };
+  EXPECT_TRUE(node.Exchange(request(200), "\r\n\r\n").starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(node.Exchange(request(3'900), "\r\n\r\n").starts_with("HTTP/1.1 431 "));
+}
+
+// One connection floods the Gearman front while another client sends look-ups.
+class GearmanFlood : public testing::Test {
+ protected:
+  static constexpr std::size_t kMaxWaits = 4'096;  // of one connection
+  // Sends the packets of `next` as fast as the node reads them, for `duration_s`, and looks up
+  // meanwhile. Returns the longest look-up in seconds.
+  double SlowestLookUpDuring(const std::function<std::string(int)>& next, double duration_s) {
+    flooder = node.Gearman();
+    const double until = node.loop.Now() + duration_s;
+    Feed(next, until);
+    double slowest_s = 0;
+    while (node.loop.Now() < until) slowest_s = std::max(slowest_s, node.LookUpSeconds());
+    return slowest_s;
+  }
+  static std::string Packet(gearman::Type type, std::initializer_list<std::string_view> arguments) {
+    return gearman::EncodePacket(gearman::Message::Form::kRequest, type, arguments);
+  }
+  // Answers of the node to the flood that are errors with this code.
+  std::size_t ErrorsOf(const std::string& code) const {
+    std::size_t errors = 0;
+    for (const std::string& error : flooder->ResponsesOf(gearman::Type::kError)) {
+      errors += error.starts_with(code + '\0');
+    }
+    return errors;
+  }
+
+  // The time by which a client of the node is promised its answer after its deadline.
+  static constexpr double kSlowS = 0.5;
+  NodeProcess node{1};
+  std::unique_ptr<GearmanPeer> flooder;
+
+ private:
+  void Feed(const std::function<std::string(int)>& next, double until) {
+    constexpr std::size_t kAheadBytes = 64 * 1024;
+    if (flooder == nullptr || flooder->closed() || node.loop.Now() >= until) return;
+    while (flooder->Unsent() < kAheadBytes) flooder->Write(next(++packets_));
+    node.loop.deadlines().At(node.loop.Now() + 0.001, [this, next, until] { Feed(next, until); });
+  }
+  int packets_ = 0;
+};
+
+// Guards against functions under ever new names, which held up all other clients: each was compared
+// with all before it, and all were kept.
+TEST_F(GearmanFlood, OfFunctionNamesDelaysNobody) {
+  const auto next = [](int number) {
+    return Packet(gearman::Type::kCanDo, {"function-" + std::to_string(number)});
+  };
+  EXPECT_LT(SlowestLookUpDuring(next, 3), kSlowS);
+  EXPECT_GT(ErrorsOf("too_many_functions"), 0u);
+  // What was sent ahead holds up nobody after the flooder has left either.
+  flooder->Close("test");
+  EXPECT_LT(node.LookUpSeconds(), kSlowS);
+}
+
+// Guards against memory by repeats of one job on one connection: each was kept as one more client
+// that waits for it.
+TEST_F(GearmanFlood, OfOneAndTheSameJobKeepsABoundedNumberOfWaits) {
+  std::vector<FakeWorker::ReceivedRequest> held;
+  node.workers[0]->on_request = [&](const FakeWorker::ReceivedRequest& request) {
+    if (request.body == "same") return held.push_back(request);
+    FakeWorker::RespondWithResult(request, "ok");
+  };
+  const auto next = [](int) { return Packet(gearman::Type::kSubmitJob, {"look", "one", "same"}); };
+  EXPECT_LT(SlowestLookUpDuring(next, 3), kSlowS);
+  const std::size_t accepted = flooder->ResponsesOf(gearman::Type::kJobCreated).size();
+  EXPECT_LE(accepted, kMaxWaits);
+  EXPECT_GT(ErrorsOf("too_many_jobs"), 0u);
+  ASSERT_EQ(held.size(), 1u);
+  FakeWorker::RespondWithResult(held[0], "done");
+  const auto results = [&] { return flooder->ResponsesOf(gearman::Type::kWorkComplete).size(); };
+  EXPECT_TRUE(node.Until([&] { return results() >= accepted; })) << results() << " " << accepted;
+  node.RunFor(0.1);
+  EXPECT_EQ(results(), accepted) << "each accepted submission gets one result";
+}
+
 }  // namespace
 }  // namespace millethollow
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "config/config.h"
 #include "net/discovery.h"
 #include "support/support.h"
@@ -288,6 +290,64 @@
   EXPECT_TRUE(submit(0));  // the 4,097th from the end: available again
 }
 
+// Adds a request with this wire id to the ledger and ends it. `ran`: it had an attempt that a
+// worker ran. Returns false if the id was in use.
+bool ReserveAndEnd(RequestLedger* ledger, const std::string& wire_id, bool ran) {
+  static RequestId last_id = 0;
+  if (!ledger->ReserveWireId(wire_id)) return false;
+  LedgerEntry& entry = ledger->Add(++last_id);
+  entry.wire_id = wire_id;
+  entry.answered = true;
+  entry.attempts.push_back({.worker = "w", .open = false, .may_have_run = ran});
+  ledger->EraseIfComplete(last_id);
+  return true;
+}
+
+constexpr int kFloodRequests = 20'000;
+
+// Guards against a second run of a request whose id a flood of rejected requests had pushed out of
+// the ids that are remembered.
+TEST(RequestLedger, RejectedRequestsPushOutNoIdThatMayHaveRun) {
+  RequestLedger ledger;
+  ASSERT_TRUE(ReserveAndEnd(&ledger, "ran", true));
+  for (int i = 0; i < kFloodRequests; ++i) {
+    ASSERT_TRUE(ReserveAndEnd(&ledger, "rejected-" + std::to_string(i), false));
+  }
+  EXPECT_FALSE(ledger.ReserveWireId("ran"));
+  EXPECT_FALSE(ledger.ReserveWireId("rejected-" + std::to_string(kFloodRequests - 1)));
+  EXPECT_TRUE(ledger.ReserveWireId("rejected-0")) << "what never ran is remembered for less long";
+}
+
+// Guards against the same at the other process of a hot restart: one that learned of the id when it
+// took over, and one that is told of it when the sibling accepts and sends the request.
+TEST(RequestLedger, RejectedRequestsOfASiblingPushOutNoIdThatMayHaveRun) {
+  RequestLedger old_process, new_process;
+  ASSERT_TRUE(ReserveAndEnd(&old_process, "ran-before", true));
+  for (const std::string& wire_id : old_process.WireIds()) new_process.MarkWireIdUsed(wire_id);
+  new_process.MarkWireIdUsed("ran-after");  // accepted
+  new_process.MarkWireIdUsed("ran-after");  // sent
+  for (int i = 0; i < kFloodRequests; ++i) {
+    new_process.MarkWireIdUsed("rejected-" + std::to_string(i));
+  }
+  EXPECT_FALSE(new_process.ReserveWireId("ran-before"));
+  EXPECT_FALSE(new_process.ReserveWireId("ran-after"));
+}
+
+// The memory of the ids does not grow, whatever their number and kind.
+TEST(RequestLedger, RemembersABoundedNumberOfIds) {
+  RequestLedger ledger;
+  for (int i = 0; i < kFloodRequests; ++i) {
+    const std::string number = std::to_string(i);
+    ReserveAndEnd(&ledger, "ran-" + number, true);
+    ReserveAndEnd(&ledger, "rejected-" + number, false);
+    ledger.MarkWireIdUsed("marked-" + number);
+    ledger.MarkWireIdUsed("ran-" + number);
+  }
+  const std::vector<std::string> ids = ledger.WireIds();
+  const std::set<std::string> distinct(ids.begin(), ids.end());
+  EXPECT_LE(distinct.size(), 2 * RequestLedger::kMaxEndedWireIds);
+}
+
 TEST(Planner, ClosesTheRequestsOfALostForwarder) {
   PlannerHarness harness;
   harness.SubmitRequest(1);
