Ids of requests that may have run are remembered apart from those that never ran

What callers saw: a request came again under its Request-Id and ran a second time, look-up and charge alike, after somebody else had sent some thousand jobs that were refused; over an upgrade too.

Cause: the planner remembers 4,096 ids of ended requests, whatever became of them. Refused requests cost their sender nothing, so one connection pushed out all others' ids within a second.

Change: ids of requests that may have run and of those that never ran are kept in two lists of 4,096. Only requests that run push out an id that ran. The sibling of a hot restart is told of an id twice: when a request is accepted and when its first attempt is sent; the state of a process that is replaced names an id that may have run twice. The frames are as they were, and an older process ignores the second message.

--- a/src/core/planner_actions.cpp
+++ b/src/core/planner_actions.cpp
@@ -97,6 +97,10 @@
 void Planner::Dispatch(RequestId id, std::size_t attempt, const std::string& worker,
                        double timeout_s) {
   counters_->sent += 1;
+  LedgerEntry* entry = ledger_.Find(id);
+  if (!std::exchange(entry->sent, true) && !entry->wire_id.empty()) {
+    environment_->OnWireIdSent(entry->wire_id);
+  }
   if (timeout_s > 0) {
     deadlines_->At(environment_->Now() + timeout_s,
                    [this, id, attempt] { OnAttemptTimeout(id, attempt); });
--- a/src/core/planner_environment.h
+++ b/src/core/planner_environment.h
@@ -55,6 +55,8 @@
   virtual std::optional<balancing::FleetShare> FleetShare() { return std::nullopt; }
   // Called when a request with this wire id has been accepted.
   virtual void OnWireIdReserved(const std::string& /*wire_id*/) {}
+  // Called when the first attempt of such a request is handed to its forwarder.
+  virtual void OnWireIdSent(const std::string& /*wire_id*/) {}
   // Returns null if the process has no durable jobs.
   virtual AttemptRecorder* attempt_recorder() { return nullptr; }
 
--- a/src/core/request_ledger.cpp
+++ b/src/core/request_ledger.cpp
@@ -16,17 +16,21 @@
 }
 
 bool RequestLedger::ReserveWireId(const std::string& wire_id) {
-  return wire_id.empty() || wire_ids_.insert(wire_id).second;
+  return wire_id.empty() || reservations_.try_emplace(wire_id, 1).second;
 }
 
 void RequestLedger::MarkWireIdUsed(const std::string& wire_id) {
-  if (wire_ids_.insert(wire_id).second) KeepEndedWireId(wire_id);
+  const auto [reservation, is_new] = reservations_.try_emplace(wire_id, 0);
+  reservation->second += 1;
+  KeepEndedWireId(wire_id, is_new ? &never_ran_ : &may_have_run_);
 }
 
 std::vector<std::string> RequestLedger::WireIds() const {
-  std::vector<std::string> ids(ended_wire_ids_.begin(), ended_wire_ids_.end());
+  std::vector<std::string> ids(never_ran_.begin(), never_ran_.end());
+  const auto add_as_run = [&ids](const std::string& id) { ids.insert(ids.end(), 2, id); };
+  for (const std::string& id : may_have_run_) add_as_run(id);
   for (const auto& [id, entry] : entries_) {
-    if (!entry.wire_id.empty()) ids.push_back(entry.wire_id);
+    if (!entry.wire_id.empty()) add_as_run(entry.wire_id);
   }
   return ids;
 }
@@ -46,7 +50,10 @@
 void RequestLedger::EraseIfComplete(RequestId id) {
   LedgerEntry* entry = Find(id);
   if (entry == nullptr || !entry->answered || entry->HasOpenAttempt()) return;
-  if (!entry->wire_id.empty()) KeepEndedWireId(std::move(entry->wire_id));
+  if (!entry->wire_id.empty()) {
+    EndedWireIds* kept = entry->MayHaveRun() ? &may_have_run_ : &never_ran_;
+    KeepEndedWireId(std::move(entry->wire_id), kept);
+  }
   entries_.erase(id);
 }
 
@@ -65,11 +72,13 @@
   });
 }
 
-void RequestLedger::KeepEndedWireId(std::string wire_id) {
-  ended_wire_ids_.push_back(std::move(wire_id));
-  if (ended_wire_ids_.size() <= kMaxEndedWireIds) return;
-  wire_ids_.erase(ended_wire_ids_.front());
-  ended_wire_ids_.pop_front();
+void RequestLedger::KeepEndedWireId(std::string wire_id, EndedWireIds* kept) {
+  kept->push_back(std::move(wire_id));
+  if (kept->size() <= kMaxEndedWireIds) return;
+  const auto oldest = reservations_.find(kept->front());
+  oldest->second -= 1;
+  if (oldest->second == 0) reservations_.erase(oldest);
+  kept->pop_front();
 }
 
 }  // namespace millethollow
--- a/src/core/request_ledger.h
+++ b/src/core/request_ledger.h
@@ -8,7 +8,6 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "core/deadlines.h"
@@ -33,6 +32,7 @@
   int class_index = 0, max_attempts = 1;
   std::string wire_id;      // empty if the client sent none
   std::string durable_job;  // handle of the durable job that it runs; empty if none
+  bool sent = false;        // an attempt has been handed to its forwarder
   bool answered = false;    // it has had its final answer, or its client has disconnected
   std::vector<LedgerAttempt> attempts;
   Deadlines::TimerId expiry = Deadlines::kNone;
@@ -42,7 +42,9 @@
 };
 
 // An entry is kept until the request is answered and all of its attempts have an outcome. Its wire
-// id stays reserved for longer, until kMaxEndedWireIds further requests have ended.
+// id stays reserved for longer: that of a request that may have run until kMaxEndedWireIds further
+// such requests have ended, that of any other until as many others have ended. So requests that
+// never run, which cost their sender little, do not free the id of one that ran.
 //
 // Not thread-safe. Pointers to entries are valid until the entry is erased.
 class RequestLedger {
@@ -52,9 +54,10 @@
   // Reserves a wire id. Returns false if an open or recently ended request has it. An empty id is
   // always available.
   bool ReserveWireId(const std::string& wire_id);
-  // Reserves an id that the sibling process in a hot restart has accepted.
+  // Reserves an id that the sibling process in a hot restart has accepted. A second call for the
+  // same id tells that its request may have run.
   void MarkWireIdUsed(const std::string& wire_id);
-  // All reserved ids: first those of ended requests, oldest first, then those of open ones.
+  // The reserved ids, as the arguments of a sibling's calls of MarkWireIdUsed, in their order.
   std::vector<std::string> WireIds() const;
 
   // Adds an entry for a new request.
@@ -73,11 +76,14 @@
   std::size_t size() const { return entries_.size(); }
 
  private:
-  void KeepEndedWireId(std::string wire_id);
+  using EndedWireIds = std::deque<std::string>;  // oldest first
+  // Adds an id that is reserved already, and frees the oldest one if there are too many.
+  void KeepEndedWireId(std::string wire_id, EndedWireIds* kept);
 
   std::unordered_map<RequestId, LedgerEntry> entries_;
-  std::unordered_set<std::string> wire_ids_;  // of all entries, and ended_wire_ids_
-  std::deque<std::string> ended_wire_ids_;    // oldest first
+  // How many of the entries and of the ended ids below reserve an id.
+  std::unordered_map<std::string, int> reservations_;
+  EndedWireIds may_have_run_, never_ran_;  // the latter also if a sibling has accepted it only
 };
 
 }  // namespace millethollow
--- a/src/net/handover/hot_restart.h
+++ b/src/net/handover/hot_restart.h
@@ -76,6 +76,8 @@
   void SendMaintenance(const std::string& worker, bool in_maintenance) {
     ForwardMaintenance(worker, in_maintenance, nullptr);
   }
+  // Tells the sibling that this process has accepted a request with this id, and in a second
+  // message for the same id that it has sent an attempt.
   void SendWireId(const std::string& wire_id);
   // Sends the workers whose drain or removal was noticed since the last call. To be called after
   // each update of the endpoint list.
--- a/src/node/node_environment.cpp
+++ b/src/node/node_environment.cpp
@@ -36,6 +36,9 @@
   if (components_.hot_restart != nullptr) components_.hot_restart->SendWireId(wire_id);
 }
 
+// To the sibling, the second message about an id means that the request may have run.
+void NodeEnvironment::OnWireIdSent(const std::string& wire_id) { OnWireIdReserved(wire_id); }
+
 void NodeEnvironment::Log(const std::string& line) { LogLine(Level::kWarn) << line; }
 
 void NodeEnvironment::Record(const AttemptRecorder::Attempt& attempt, DoneCallback done) {
--- a/src/node/node_environment.h
+++ b/src/node/node_environment.h
@@ -40,6 +40,7 @@
   void SendPeerMessage(int recipient, const std::string& body) override;
   std::optional<balancing::FleetShare> FleetShare() override;
   void OnWireIdReserved(const std::string& wire_id) override;
+  void OnWireIdSent(const std::string& wire_id) override;
   AttemptRecorder* attempt_recorder() override { return components_.in_cluster ? this : nullptr; }
   void Log(const std::string& line) override;
 
