A head has at most 256 fields

What callers saw: with some hundred clients that sent heads of very many short fields, a process passed its memory limit and was killed.

Cause: a field takes 64 bytes and more besides its text, and in the 16 KB of a head there was room for 4,000 of four bytes: each half-finished head took some sixteen times its bytes, up to twice that while the table grew.

Change: the 257th field of a request is answered 431; a response of a worker or of discovery with more is unreadable.

--- a/src/net/http/parser.cpp
+++ b/src/net/http/parser.cpp
@@ -190,6 +190,7 @@
 }
 
 void Parser::ParseFieldLine() {
+  if (head_.headers.size() >= limits_.fields) return Fail(side_ == Side::kRequest ? 431 : 400);
   const std::size_t colon = line_.find(':');
   if (colon == std::string::npos) return Fail(400);
   const std::string_view name = std::string_view(line_).substr(0, colon);
--- a/src/net/http/parser.h
+++ b/src/net/http/parser.h
@@ -39,6 +39,8 @@
   struct Limits {
     std::size_t head = 16 * 1024;  // bytes of the head, of a chunk-size line, or of the trailers
     std::size_t body = 64 * 1024;  // bytes of the decoded body
+    // Fields of the head: a short one takes many times its bytes.
+    std::size_t fields = 256;
   };
   Parser(Side side, Limits limits) : side_(side), limits_(limits) {}
 
