A request that is being answered is not erased under the call

What callers saw: nothing that was reported; found by reading for the same class as the timers of a connection: what a callback may free is still used by its caller.

Cause: Forwarder::Answer holds a reference to the request while it calls the client's handler. A Gearman client that reads too slowly is closed there; if it is a worker too and holds another attempt of the same request, that attempt's end erased the request, and Answer went on with freed memory.

Change: EraseIfFinished leaves a request alone that is being answered; Answer erases it afterwards.

Not shown by a test: the case needs a connection that is client and worker of one hedged request and two megabytes of unread answers.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -69,8 +69,8 @@
 
 void Forwarder::EraseIfFinished(RequestId id) {
   const auto it = requests_.find(id);
-  if (it != requests_.end() && it->second.answered && it->second.attempts.empty())
-    requests_.erase(it);
+  if (it == requests_.end() || !it->second.answered || it->second.answering) return;
+  if (it->second.attempts.empty()) requests_.erase(it);
 }
 
 WorkerDriver* Forwarder::DriverOf(const std::string& worker) const {
@@ -115,8 +115,10 @@
   pending.answered = true;
   loop_->deadlines().Drop(&pending.expiry_timer);
   ResponseHandler* client = std::exchange(pending.client, nullptr);
+  pending.answering = true;
   if (client != nullptr)
     client->Answer(pending.client_request, answer, pending.results[answer.attempt]);
+  pending.answering = false;
   pending.results.clear();
   EraseIfFinished(id);
 }
--- a/src/net/forwarder.h
+++ b/src/net/forwarder.h
@@ -105,6 +105,7 @@
     ClientRequest client_request;
     ResponseHandler* client = nullptr;
     bool answered = false;
+    bool answering = false;  // its client is being called, and must find it
     bool may_have_run = false;
     std::unordered_map<int, WorkerDriver*> attempts;  // in flight, by attempt number
     std::unordered_map<int, std::string> results;     // of successful attempts
