The close of a client that sends ahead is noticed, however much it has sent

What callers saw: a client closed its connection with much still unread, and attempts for its request, and its next requests, were sent afterwards.

Cause: while a request is waiting, 96 KB of input ahead of its answer were kept, up to a megabyte was dropped, and then the node stopped reading and asked the kernel every 50 ms whether the peer has closed. Behind more input than the buffers of both kernels hold, some megabytes, the close does not arrive. A pipelined request was also taken from the buffer without that question.

Change: beyond 96 KB all input is discarded, 4 MB every 20 ms, until the connection ends, so that the end of the stream arrives. With further input in the buffer the kernel is asked for the peer's close before a request is taken.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 
 #include "logging/log.h"
@@ -19,7 +20,9 @@
 // Beyond it the kernel's flow control holds the peer back.
 constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
 // Interval of the checks for a peer's close while input is paused.
-constexpr double kPeerCloseCheckIntervalS = 0.05;
+constexpr double kPeerCloseCheckIntervalS = 0.02;
+// Input discarded at each check: the kernel's buffers at both ends are empty within a few checks.
+constexpr std::size_t kMaxDiscardedBytesPerCheck = 4 * 1024 * 1024;
 
 }  // namespace
 
@@ -85,6 +88,11 @@
 void Connection::PrependInput(std::string_view bytes) {
   if (bytes.empty()) return;
   evbuffer_prepend(bufferevent_get_input(bufferevent_.get()), bytes.data(), bytes.size());
+  ReadLater();
+}
+
+void Connection::ReadLater() {
+  if (closed()) return;
   bufferevent_trigger(bufferevent_.get(), EV_READ,
                       BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -101,7 +109,7 @@
 }
 
 void Connection::ResumeInput() {
-  if (!input_paused_) return;
+  if (!input_paused_ || discarding_) return;
   input_paused_ = false;
   loop_->deadlines().Drop(&peer_close_check_);
   bufferevent_enable(bufferevent_.get(), EV_READ);
@@ -113,12 +121,35 @@
 void Connection::CheckForPeerClose() {
   peer_close_check_ = loop_->deadlines().At(loop_->Now() + kPeerCloseCheckIntervalS, [this] {
     peer_close_check_ = Deadlines::kNone;
-    pollfd poll_request{.fd = descriptor(), .events = POLLRDHUP, .revents = 0};
-    if (poll(&poll_request, 1, 0) > 0) return OnEnd("peer-closed");
+    if (PeerHasClosed() || (discarding_ && !DiscardReceived())) return OnPeerClosedWhilePaused();
     CheckForPeerClose();
   });
 }
 
+bool Connection::PeerHasClosed() const {
+  pollfd poll_request{.fd = descriptor(), .events = POLLRDHUP, .revents = 0};
+  return poll(&poll_request, 1, 0) > 0;
+}
+
+void Connection::DiscardInput() {
+  if (closed()) return;
+  Consume(Available());
+  discarding_ = true;
+  PauseInput();
+}
+
+bool Connection::DiscardReceived() {
+  std::array<char, 64 * 1024> bytes;
+  for (std::size_t discarded = 0; discarded < kMaxDiscardedBytesPerCheck;) {
+    const ssize_t received = recv(descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (received < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (received == 0) return false;
+    discarded += static_cast<std::size_t>(received);
+    bytes_in_ += static_cast<std::size_t>(received);
+  }
+  return true;
+}
+
 bool Connection::HasUnreadInput() const {
   char byte = 0;
   const ssize_t received = recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -77,6 +77,12 @@
   // that the caller owns, or -1, and puts the unconsumed input into `unread`. Where a descriptor is
   // returned the connection is closed.
   int Release(std::string* unread);
+  // Whether the kernel knows that the peer has closed or reset the connection, also while unread
+  // input is before the end. Costs a system call.
+  bool PeerHasClosed() const;
+  // From now on input is discarded, some of it at a time. Stopping to read instead would keep the
+  // peer's close back too, behind more input than the kernel's buffers hold.
+  void DiscardInput();
   // Stops reading from the socket. Further input stays in the kernel's buffers, so that TCP flow
   // control holds the peer back.
   void StopReading();
@@ -89,6 +95,9 @@
   Connection(Loop* loop, const char* kind) : loop_(loop), kind_(kind) {}
   // Takes ownership of an accepted socket.
   void Adopt(evutil_socket_t fd);
+  // Has OnRead called again in a later iteration of the event loop, for a reader that leaves input
+  // so that others get their turn.
+  void ReadLater();
   // Puts bytes back at the front of the input buffer and schedules OnRead.
   void PrependInput(std::string_view bytes);
   // Handles the events of this connection before all ordinary ones.
@@ -104,6 +113,8 @@
   virtual void OnRead() = 0;
   // The output buffer is empty.
   virtual void OnDrained() {}
+  // The peer has closed the connection while input is paused. Unread input may be left.
+  virtual void OnPeerClosedWhilePaused() { OnEnd("peer-closed"); }
   // The peer closed ("peer-closed") or reset ("reset") the connection, or it could not be
   // established. The socket is still open: the derived class has to call Close.
   virtual void OnEnd(const char* reason) = 0;
@@ -119,11 +130,14 @@
   void ResumeInput();
   // Polls for the peer's close while reading is paused.
   void CheckForPeerClose();
+  // Reads and discards what the kernel holds. False if the stream has ended.
+  bool DiscardReceived();
 
   const char* kind_;
   std::unique_ptr<bufferevent, BuffereventDeleter> bufferevent_;
   std::size_t bytes_in_ = 0, bytes_out_ = 0;                // consumed and written
   bool input_paused_ = false;                               // the input buffer is full
+  bool discarding_ = false;                                 // input is paused for good
   double opened_at_ = 0;                                    // on the loop's clock, in seconds
   Deadlines::TimerId peer_close_check_ = Deadlines::kNone;  // set while input is paused
 };
--- a/src/net/http/client_front.cpp
+++ b/src/net/http/client_front.cpp
@@ -21,10 +21,9 @@
 constexpr double kLingerS = 0.3;
 constexpr std::size_t kMaxLingerBytes = 256 * 1024;
 constexpr std::size_t kMaxIdBytes = 128;
-// Unread pipelined bytes hide whether the client has disconnected. Beyond the first limit, input
-// that arrives during a request is discarded, up to the second limit, and the connection closes
-// with the answer.
-constexpr std::size_t kMaxPipelinedBytes = 96 * 1024, kMaxDiscardedBytes = 1024 * 1024;
+// Unread pipelined bytes hide whether the client has disconnected. Beyond this limit, input that
+// arrives during a request is discarded, and the connection closes with the answer.
+constexpr std::size_t kMaxPipelinedBytes = 96 * 1024;
 // Requests that arrive later than this after SIGTERM are rejected: the process might exit before
 // they end.
 constexpr double kAcceptAfterStopS = 0.65;
@@ -272,12 +271,9 @@
       if (lingering_bytes_ > kMaxLingerBytes) Finish(close_reason_);
       return;
     }
-    if (state_ == State::kWaiting && Available() >= kMaxPipelinedBytes &&
-        discarded_bytes_ < kMaxDiscardedBytes) {
+    if (state_ == State::kWaiting && Available() >= kMaxPipelinedBytes) {
       keep_alive_ = false;
-      discarded_bytes_ += Available();
-      Consume(Available());
-      return;
+      return DiscardInput();
     }
     while (state_ == State::kReading && !closed()) {
       const std::string bytes = Peek(16 * 1024);
@@ -330,6 +326,8 @@
         loop_->Now() - front_->stopping_since_ > kAcceptAfterStopS) {
       return Respond(503, "stopping\n", RetryAfterHeader(front_->options_.retry_after_s));
     }
+    // The end of the stream is not reported before the input in front of it is read.
+    if (Available() > 0 && PeerHasClosed()) return Finish("client-gone");
     sent_valid_request_ = true;
     client_request.request.expires_at = loop_->Now() + timeout_s;
     request_ = front_->forwarder_->Submit(std::move(client_request), this);
@@ -418,7 +416,7 @@
   const char* close_reason_ = "answered-last";  // reason logged for a lingering close
   bool received_input_ = false;
   bool sent_valid_request_ = false;
-  std::size_t lingering_bytes_ = 0, discarded_bytes_ = 0, requests_served_ = 0;
+  std::size_t lingering_bytes_ = 0, requests_served_ = 0;
   RequestId request_ = 0;  // in progress; 0: none
   double idle_since_ = 0;  // loop time in seconds
   Deadlines::TimerId deadline_ = Deadlines::kNone;
