A Gearman connection's share of a turn, of memory and of waits is bounded

What callers saw: while one connection sent functions under ever new names, others got their answers late, also after it had left; while it sent one and the same job again and again, memory grew.

Cause: all that a connection had sent was handled in one go, and what it could make the node keep was counted in items or not at all: functions (each compared with all before), waits for one job, the overhead of jobs without a body, the unique id '-' (a whole body as key), parts of partial data without data, kept results, and up to 2 MB of unsent answers for each of hundreds of connections.

Functions of a connection take 32 KB at most (ERROR too_many_functions), 4,096 submissions wait at a time (ERROR too_many_jobs), a job counts 2 KB besides its body and unique id (ERROR queue_full at 24 MB, as before), a part of partial data 64 bytes besides its data and all parts 32 MB, kept results 16 MB, and all unsent answers 32 MB (the connection with the most is closed). A connection that ends is taken from the jobs that it waits for, no longer by a walk over all jobs; so are look-ups by unique id. What had arrived before a connection ended is still handled, but for jobs whose client waits no longer.

--- a/src/net/gearman/front.cpp
+++ b/src/net/gearman/front.cpp
@@ -13,7 +13,10 @@
 
 namespace {
 
-constexpr std::size_t kMaxKeptResults = 256;   // for repeats of a job
+constexpr std::size_t kMaxKeptResults = 256;  // for repeats of a job
+constexpr std::size_t kMaxKeptBytes = 16 * 1024 * 1024;
+// Of all connections; a single one is closed at kMaxUnsentBytes.
+constexpr std::size_t kMaxUnsentBytesInAll = 32 * 1024 * 1024;
 constexpr std::size_t kMaxTasksPerWorker = 2;  // one running and one queued
 constexpr int kFirstUnlistedCell = 1 << 20;    // larger than the cells of endpoint lists
 constexpr std::string_view kVersion = "0.1.0";
@@ -97,8 +100,8 @@
 // A peer is a worker while it supports at least one function of the configuration.
 void Front::UpdateWorker(Peer* worker) {
   const bool capable = std::any_of(
-      worker->abilities().begin(), worker->abilities().end(),
-      [this](const auto& function) { return config_.gearman_functions.contains(function.first); });
+      config_.gearman_functions.begin(), config_.gearman_functions.end(),
+      [worker](const auto& function) { return worker->abilities().contains(function.first); });
   const bool known = workers_.contains(worker->name());
   if (!capable && !known) return;
   workers_[worker->name()] = worker;
@@ -121,12 +124,44 @@
 
 void Front::EvictKeptResults() {
   const double now = forwarder_->loop()->Now();
-  std::erase_if(kept_results_, [now](const auto& entry) { return entry.second.expires_at < now; });
-  if (kept_results_.size() < kMaxKeptResults) return;
-  kept_results_.erase(std::min_element(kept_results_.begin(), kept_results_.end(),
-                                       [](const auto& left, const auto& right) {
-                                         return left.second.expires_at < right.second.expires_at;
-                                       }));
+  const auto expires_first = [](const auto& left, const auto& right) {
+    return left.second.expires_at < right.second.expires_at;
+  };
+  while (!kept_results_.empty()) {
+    const auto first = std::min_element(kept_results_.begin(), kept_results_.end(), expires_first);
+    const bool has_room = kept_results_.size() <= kMaxKeptResults && kept_bytes_ <= kMaxKeptBytes;
+    if (has_room && first->second.expires_at >= now) return;
+    EraseKeptResult(first);
+  }
+}
+
+void Front::EraseKeptResult(std::map<UniqueKey, KeptResult>::iterator kept) {
+  kept_bytes_ -= kept->second.bytes;
+  kept_results_.erase(kept);
+}
+
+void Front::KeepResult(const UniqueKey& key, KeptResult kept) {
+  kept.bytes = key.second.size() + kept.result.size();
+  for (const auto& [kind, part] : kept.partial_data) kept.bytes += part.size() + kPartOverheadBytes;
+  if (const auto previous = kept_results_.find(key); previous != kept_results_.end()) {
+    EraseKeptResult(previous);
+  }
+  kept_bytes_ += kept.bytes;
+  kept_results_.emplace(key, std::move(kept));
+  EvictKeptResults();
+}
+
+void Front::LimitUnsentBytes() {
+  std::size_t unsent_bytes = 0;
+  Peer* slowest = nullptr;
+  for (const auto& [peer, owned] : peers_) {
+    if (peer->closed()) continue;
+    unsent_bytes += peer->Unsent();
+    if (slowest == nullptr || peer->Unsent() > slowest->Unsent()) slowest = peer;
+  }
+  if (unsent_bytes > kMaxUnsentBytesInAll && slowest != nullptr) {
+    slowest->Finish("reads-too-slowly");
+  }
 }
 
 bool Front::Flushed() const {
@@ -231,12 +266,15 @@
   if (command == "version") {
     out = "OK millethollow " + std::string(kVersion) + "\n";
   } else if (command == "status") {
+    std::map<std::string_view, std::pair<std::size_t, std::size_t>> jobs_by_function;
+    for (const auto& [id, job] : jobs_) {
+      auto& [total, running] = jobs_by_function[job->function];
+      total += 1;
+      running += job->running;
+    }
     for (const auto& [name, function] : config_.gearman_functions) {
-      std::size_t total = 0, running = 0, capable = 0;
-      for (const auto& [id, job] : jobs_) {
-        total += job->function == name;
-        running += job->function == name && job->running;
-      }
+      const auto [total, running] = jobs_by_function[name];
+      std::size_t capable = 0;
       for (const auto& [id, worker] : workers_) capable += worker->abilities().contains(name);
       out += name + "\t" + std::to_string(total) + "\t" + std::to_string(running) + "\t" +
              std::to_string(capable) + "\n";
--- a/src/net/gearman/front.h
+++ b/src/net/gearman/front.h
@@ -32,7 +32,9 @@
   bool background = false, running = false;
   // From WORK_STATUS and WORK_EXCEPTION.
   std::string numerator = "0", denominator = "0", exception;
-  std::vector<Peer*> waiters;
+  // The clients that wait for it, with the number of submissions by which each does.
+  std::map<Peer*, std::size_t> waiters;
+  std::size_t held_bytes = 0;  // counted in Front::held_bytes_
 };
 
 // An attempt at a worker: queued until the worker sends GRAB_JOB, then assigned.
@@ -44,8 +46,8 @@
   double sent_at = 0;          // loop time in seconds
   bool abandoned = false;      // ended here after the assignment: the worker's result is discarded
   std::vector<std::pair<Type, std::string>> partial_data;  // WORK_DATA and WORK_WARNING received
-  std::size_t partial_bytes = 0;
-  Deadlines::TimerId limit_timer = Deadlines::kNone;  // time limit from CAN_DO_TIMEOUT
+  std::size_t partial_bytes = 0;                           // counted in Front::partial_bytes_
+  Deadlines::TimerId limit_timer = Deadlines::kNone;       // time limit from CAN_DO_TIMEOUT
 };
 
 // Owns the listening socket, the connections and the jobs. `forwarder`, `config` and `counters`
@@ -104,6 +106,7 @@
     std::string handle, result;
     std::vector<std::pair<Type, std::string>> partial_data;
     double expires_at = 0;  // loop time in seconds
+    std::size_t bytes = 0;  // that it occupies
   };
 
   void Accept(evutil_socket_t fd);
@@ -122,8 +125,12 @@
   std::string NewHandle();
   // The handle of an HTTP client's request at a Gearman worker.
   std::string HandleOfRequest(RequestId id) const;
-  // Adds the job to the maps; `bytes`: the size of its body.
-  void AddJob(const std::shared_ptr<Job>& job, std::size_t bytes);
+  // Memory for a job with this body and unique id, until it ends.
+  static std::size_t JobBytes(std::string_view body, std::string_view unique);
+  // Adds the job to the maps.
+  void AddJob(const std::shared_ptr<Job>& job, std::string_view body);
+  // Lets a client wait for the job by one more submission.
+  static void AddWait(const std::shared_ptr<Job>& job, Peer* peer);
   // Removes a closed client from the jobs that it waits for, and cancels those that no client
   // waits for any more.
   void Detach(Peer* peer);
@@ -134,16 +141,22 @@
   // These return null if there is no such job.
   std::shared_ptr<Job> FindByHandle(std::string_view handle) const;
   std::shared_ptr<Job> FindByRequest(RequestId id) const;
+  std::shared_ptr<Job> FindByUnique(std::string_view unique) const;
   // The function under which `worker` is given the request; empty if it supports none.
   std::string FunctionFor(const ClientRequest& client_request, const Peer& worker) const;
-  // Sends a packet to every client that waits for the job.
+  // Sends a packet to every client that waits for the job, as often as it has submitted it.
   void SendToWaiters(const Job& job, const std::string& packet);
   // Handles a command of the administrative text protocol.
   void HandleAdminLine(Peer* peer, const std::string& line);
   // Reports the worker's state to the planner.
   void UpdateWorker(Peer* worker);
-  // Discards expired results, and the one that expires first if there are too many.
+  // Keeps the result of a job for repeats of it.
+  void KeepResult(const UniqueKey& key, KeptResult kept);
+  // Discards expired results, and those that expire first while there are too many.
   void EvictKeptResults();
+  void EraseKeptResult(std::map<UniqueKey, KeptResult>::iterator kept);
+  // Closes the connection with the most unsent bytes while all together have too many.
+  void LimitUnsentBytes();
 
   Forwarder* forwarder_;
   const Config& config_;
@@ -160,7 +173,9 @@
   // By request and attempt, while the outcome of a successful attempt is being reported.
   std::map<std::pair<RequestId, int>, std::vector<std::pair<Type, std::string>>> partial_data_;
   std::set<int> name_numbers_;                        // in use by peers' names
-  std::size_t body_bytes_ = 0;                        // of all jobs
+  std::size_t held_bytes_ = 0;                        // of all jobs
+  std::size_t kept_bytes_ = 0;                        // of kept_results_
+  std::size_t partial_bytes_ = 0;                     // of all tasks' partial data
   std::uint64_t last_connection_ = 0, last_job_ = 0;  // counted from 1
   bool stopping_ = false, accepting_ = true;
 };
--- a/src/net/gearman/jobs.cpp
+++ b/src/net/gearman/jobs.cpp
@@ -8,7 +8,8 @@
 namespace millethollow::gearman {
 namespace {
 
-constexpr std::size_t kMaxHeldBytes = 24 * 1024 * 1024;  // of all jobs' bodies
+constexpr std::size_t kMaxHeldBytes = 24 * 1024 * 1024;  // of all jobs
+constexpr std::size_t kJobOverheadBytes = 2 * 1024;      // besides its body and its unique id
 // Delays before a durable job is retried: one that this node cannot run, and one while another job
 // with the same unique id runs.
 constexpr double kCannotRunRetryS = 5.0;
@@ -38,6 +39,14 @@
   return it == jobs_.end() ? nullptr : it->second;
 }
 
+std::shared_ptr<Job> Front::FindByUnique(std::string_view unique) const {
+  for (const auto& [function, mapped] : config_.gearman_functions) {
+    const auto it = jobs_by_unique_.find({function, std::string(unique)});
+    if (it != jobs_by_unique_.end()) return it->second;
+  }
+  return nullptr;
+}
+
 void Front::Submit(Peer* peer, Type type, std::string_view function, std::string_view unique,
                    std::string_view body) {
   const auto mapped = config_.gearman_functions.find(std::string(function));
@@ -49,11 +58,16 @@
     return error("unknown_function", "The configuration maps no such function");
   }
   if (body.size() > kMaxBodyBytes) return error("job_too_large", "A job holds 64 KiB at most");
-  if (body_bytes_ + body.size() > kMaxHeldBytes) return error("queue_full", "Try again later");
-  const bool background =
-      type == Type::kSubmitJobBg || type == Type::kSubmitJobHighBg || type == Type::kSubmitJobLowBg;
   // The unique id '-' stands for the body.
-  const UniqueKey key{function, unique == "-" ? body : unique};
+  const std::string_view unique_id = unique == "-" ? body : unique;
+  if (held_bytes_ + JobBytes(body, unique_id) > kMaxHeldBytes) {
+    return error("queue_full", "Try again later");
+  }
+  const bool background = IsBackground(type);
+  if (!background && peer->waits() >= kMaxWaits) {
+    return error("too_many_jobs", "This connection waits for too many jobs already");
+  }
+  const UniqueKey key{function, unique_id};
   if (!key.second.empty()) {
     // A repeat of a running job, or of one whose result is kept, is the same job.
     auto same = jobs_by_unique_.find(key);
@@ -67,7 +81,7 @@
     const bool joins = same != jobs_by_unique_.end() && (!background || durable_jobs_ == nullptr);
     if (joins) {
       const std::shared_ptr<Job> job = same->second;
-      if (!background) job->waiters.push_back(peer);
+      if (!background) AddWait(job, peer);
       return peer->Send(Response(Type::kJobCreated, {job->handle}));
     }
     EvictKeptResults();
@@ -88,7 +102,6 @@
   job->unique = key.second;
   job->background = background;
   job->priority = PriorityOf(type);
-  if (!background) job->waiters.push_back(peer);
   job->request = stopping_ && !listener_.open()
                      ? 0
                      : forwarder_->Submit(MakeClientRequest(*job, mapped->second, body), this);
@@ -100,7 +113,8 @@
     }
     return peer->Send(Response(Type::kWorkFail, {job->handle}));
   }
-  AddJob(job, body.size());
+  AddJob(job, body);
+  if (!background) AddWait(job, peer);
   // After AddJob: sending may close the peer, which must then be removed from its job.
   peer->Send(Response(Type::kJobCreated, {job->handle}));
 }
@@ -111,8 +125,18 @@
   return handle_prefix_ + ":e" + std::to_string(id);
 }
 
-void Front::AddJob(const std::shared_ptr<Job>& job, std::size_t bytes) {
-  body_bytes_ += bytes;
+std::size_t Front::JobBytes(std::string_view body, std::string_view unique) {
+  return body.size() + unique.size() + kJobOverheadBytes;
+}
+
+void Front::AddWait(const std::shared_ptr<Job>& job, Peer* peer) {
+  job->waiters[peer] += 1;
+  peer->AddWait(job->request);
+}
+
+void Front::AddJob(const std::shared_ptr<Job>& job, std::string_view body) {
+  job->held_bytes = JobBytes(body, job->unique);
+  held_bytes_ += job->held_bytes;
   jobs_[job->request] = job;
   jobs_by_handle_[job->handle] = job;
   if (!job->unique.empty()) jobs_by_unique_[{job->function, job->unique}] = job;
@@ -205,17 +229,15 @@
   job->request = forwarder_->Submit(std::move(client_request), this);
   if (job->request == 0)
     return complete({.kind = Kind::kRejected, .retry_after_s = kCannotRunRetryS});
-  AddJob(job, durable_job.body.size());
+  AddJob(job, durable_job.body);
 }
 
 void Front::Abort(const std::string& handle) {
   const auto job = FindByHandle(handle);
   if (job == nullptr || job->durable_handle.empty()) return;
-  for (Peer* peer : std::vector<Peer*>(job->waiters)) {
-    peer->Send(Response(Type::kWorkFail, {job->handle}));
-  }
   const RequestId id = job->request;
   RemoveJob(job);
+  SendToWaiters(*job, Response(Type::kWorkFail, {job->handle}));
   forwarder_->CancelRequest(id);
 }
 
@@ -223,13 +245,11 @@
 // has started it: Gearman cannot stop a worker, so the job will run, and a client that resubmits it
 // with the same unique id must join it rather than start a second one.
 void Front::Detach(Peer* peer) {
-  std::vector<std::shared_ptr<Job>> abandoned;
-  for (const auto& [id, job] : jobs_) {
-    if (std::erase(job->waiters, peer) > 0 && job->waiters.empty() && !job->background) {
-      abandoned.push_back(job);
-    }
-  }
-  for (const auto& job : abandoned) {
+  for (const RequestId awaited : peer->TakeAwaitedJobs()) {
+    const std::shared_ptr<Job> job = FindByRequest(awaited);
+    if (job == nullptr) continue;
+    job->waiters.erase(peer);
+    if (!job->waiters.empty() || job->background) continue;
     const ClientRequest* client_request = forwarder_->Find(job->request);
     if (client_request != nullptr && job->running && !job->unique.empty() &&
         NeedsDeduplication(client_request->request.class_index)) {
@@ -243,17 +263,22 @@
 }
 
 void Front::RemoveJob(const std::shared_ptr<Job>& job) {
-  if (const ClientRequest* client_request = forwarder_->Find(job->request)) {
-    body_bytes_ -= std::min(body_bytes_, client_request->request.body.size());
+  if (jobs_.erase(job->request) == 0) return;
+  held_bytes_ -= job->held_bytes;
+  for (const auto& [peer, submissions] : job->waiters) {
+    peer->RemoveWaits(job->request, submissions);
   }
-  jobs_.erase(job->request);
   jobs_by_handle_.erase(job->handle);
   const auto it = jobs_by_unique_.find({job->function, job->unique});
   if (it != jobs_by_unique_.end() && it->second == job) jobs_by_unique_.erase(it);
 }
 
 void Front::SendToWaiters(const Job& job, const std::string& packet) {
-  for (Peer* peer : std::vector<Peer*>(job.waiters)) peer->Send(packet);
+  // A copy: a client that reads too slowly is closed, and removed from the job.
+  const std::map<Peer*, std::size_t> waiters = job.waiters;
+  for (const auto& [peer, submissions] : waiters) {
+    for (std::size_t i = 0; i < submissions && !peer->closed(); ++i) peer->Send(packet);
+  }
 }
 
 void Front::OnAttemptStarted(RequestId id) {
@@ -281,10 +306,11 @@
         config_.settings.classes[static_cast<std::size_t>(client_request.request.class_index)];
     if (NeedsDeduplication(client_request.request.class_index) && !job->unique.empty() &&
         settings.deduplication_window_s > 0) {
-      EvictKeptResults();
-      kept_results_[{job->function, job->unique}] = {
-          job->handle, result, std::move(partial_data),
-          forwarder_->loop()->Now() + settings.deduplication_window_s};
+      KeepResult({job->function, job->unique},
+                 {.handle = job->handle,
+                  .result = result,
+                  .partial_data = std::move(partial_data),
+                  .expires_at = forwarder_->loop()->Now() + settings.deduplication_window_s});
     }
   } else {
     std::string exception = job->exception.empty() ? "failed" : job->exception;
@@ -294,10 +320,12 @@
       std::snprintf(text, sizeof text, "refused: retry after %.3f s", answer.retry_after_s);
       exception = text;
     }
-    for (Peer* peer : std::vector<Peer*>(job->waiters)) {
-      if (peer->wants_exceptions())
-        peer->Send(Response(Type::kWorkException, {job->handle, exception}));
-      peer->Send(Response(Type::kWorkFail, {job->handle}));
+    for (const auto& [peer, submissions] : job->waiters) {
+      for (std::size_t i = 0; i < submissions; ++i) {
+        if (peer->wants_exceptions())
+          peer->Send(Response(Type::kWorkException, {job->handle, exception}));
+        peer->Send(Response(Type::kWorkFail, {job->handle}));
+      }
     }
   }
   if (job->background) LogLine(Level::kInfo) << "background job " << job->handle << ' ' << outcome;
--- a/src/net/gearman/packet.h
+++ b/src/net/gearman/packet.h
@@ -52,6 +52,12 @@
   kStatusResUnique = 42,
 };
 
+// Whether nobody waits for the result of a job submitted by this packet.
+constexpr bool IsBackground(Type type) {
+  return type == Type::kSubmitJobBg || type == Type::kSubmitJobHighBg ||
+         type == Type::kSubmitJobLowBg;
+}
+
 // A binary packet or a line of the text protocol.
 struct Message {
   // A packet with the magic code \0REQ or \0RES, or a text line.
--- a/src/net/gearman/peer.h
+++ b/src/net/gearman/peer.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,9 +22,21 @@
 constexpr std::size_t kMaxBodyBytes = 64 * 1024;             // of a job, as on the HTTP front
 constexpr std::size_t kMaxDataBytes = kMaxBodyBytes + 4096;  // of a packet
 constexpr std::size_t kMaxPartialBytes = 256 * 1024;  // of a job's WORK_DATA and WORK_WARNING
+constexpr std::size_t kMaxPartialBytesInAll = 32 * 1024 * 1024;  // of all jobs
+constexpr std::size_t kPartOverheadBytes =
+    64;  // of one WORK_DATA or WORK_WARNING, besides its data
 // A peer with more unsent bytes does not read, and is closed.
 constexpr std::size_t kMaxUnsentBytes = 2 * 1024 * 1024;
-constexpr std::size_t kMaxNameBytes = 256;  // of functions, unique and client ids
+// No further message of a peer is handled while it has more unsent bytes.
+constexpr std::size_t kUnsentBytesBeforeReading = 128 * 1024;
+constexpr std::size_t kMaxNameBytes = 256;           // of functions, unique and client ids
+constexpr std::size_t kMaxAbilityBytes = 32 * 1024;  // of the functions of one connection
+constexpr std::size_t kAbilityOverheadBytes = 64;    // of one function, besides its name
+constexpr std::size_t kMaxWaits = 4096;  // submissions of one connection that wait for a result
+// After this many messages of one connection, others get their turn.
+constexpr std::size_t kMaxMessagesPerTurn = 64;
+// An administrative line counts as so many messages: it looks at all jobs or connections.
+constexpr std::size_t kAdminLineCost = kMaxMessagesPerTurn;
 
 // Encodes a packet to a client or a worker.
 inline std::string Response(Type type, std::initializer_list<std::string_view> arguments) {
@@ -80,11 +93,28 @@
   // Assigned attempts, by handle.
   const std::map<std::string, Task, std::less<>>& assigned() const { return assigned_; }
 
+  // Submissions that wait for a result.
+  std::size_t waits() const { return waits_; }
+  // A further submission waits for the job of this request.
+  void AddWait(RequestId request) {
+    awaited_jobs_.insert(request);
+    ++waits_;
+  }
+  void RemoveWaits(RequestId request, std::size_t submissions) {
+    if (awaited_jobs_.erase(request) > 0) waits_ -= submissions;
+  }
+  // The requests of the jobs that it waits for; from now on it waits for none.
+  std::set<RequestId> TakeAwaitedJobs() {
+    waits_ = 0;
+    return std::exchange(awaited_jobs_, {});
+  }
+
   // Writes a packet. Closes the connection if too much is unsent.
   void Send(const std::string& packet) {
-    if (closed()) return;
+    if (closed() || client_gone_) return;
     Write(packet);
-    if (Unsent() > kMaxUnsentBytes) Finish("reads-too-slowly");
+    if (Unsent() > kMaxUnsentBytes) return Finish("reads-too-slowly");
+    if (Unsent() > kUnsentBytesBeforeReading) front_->LimitUnsentBytes();
   }
 
   // Queues an attempt by priority, then in order of arrival, and wakes a sleeping worker.
@@ -137,6 +167,7 @@
     for (auto& [handle, task] : std::exchange(assigned_, {})) {
       Deadlines::TimerId limit_timer = task.limit_timer;
       loop_->deadlines().Drop(&limit_timer);
+      front_->partial_bytes_ -= task.partial_bytes;
       if (task.abandoned) continue;
       const bool unsent = assign_unsent && handle == last_assigned_;
       ReportEnd(task, unsent ? AttemptStatus::kConnectFailed : AttemptStatus::kConnectionLost);
@@ -158,28 +189,33 @@
 
   void OnRead() override {
     const std::size_t before = messages_;
+    // The end of the stream is not reported before the input in front of it is read.
+    if (more_to_read_ && PeerHasClosed()) client_gone_ = true;
+    more_to_read_ = false;
     ReadMessages();
     if (closed()) return;
+    if (more_to_read_) return loop_->deadlines().Drop(&deadline_);
+    if (end_reason_ != nullptr && Available() == 0) return Finish(end_reason_);
+    if (Available() > 0) return SetDeadline(kClientWriteTimeoutS, "reads-too-slowly");
     if (parser_.idle()) return loop_->deadlines().Drop(&deadline_);
     // A partial message remains. Only a complete message extends the deadline, not single bytes.
     if (messages_ > before || (deadline_ == Deadlines::kNone))
       SetDeadline(kClientReadTimeoutS, "half-a-packet");
   }
 
+  // Handles messages until the input is used up, others are to get their turn, or the peer has too
+  // many bytes to read first.
   void ReadMessages() {
-    while (!closed() && parser_.error() == nullptr) {
-      const std::string bytes = Peek(16 * 1024);
-      if (bytes.empty()) return;
-      Consume(parser_.Feed(bytes));
-      if (const auto message = parser_.Take()) {
-        messages_ += 1;
-        if (message->form == Message::Form::kLine) {
-          front_->HandleAdminLine(this, message->data);
-        } else if (!HandlePacket(*message)) {
-          front_->counters_->bad_input += 1;
-          SendError("bad_packet", "Unknown or malformed packet");
-        }
+    constexpr std::size_t kPeekBytes = 4 * 1024;
+    for (std::size_t cost = 0; !closed() && parser_.error() == nullptr;) {
+      if (Available() == 0) return;
+      if (!client_gone_ && Unsent() > kUnsentBytesBeforeReading) return;
+      if (cost >= kMaxMessagesPerTurn) {
+        more_to_read_ = true;
+        return ReadLater();
       }
+      Consume(parser_.Feed(Peek(kPeekBytes)));
+      if (const auto message = parser_.Take()) cost += HandleMessage(*message);
     }
     if (closed()) return;
     front_->counters_->bad_input += 1;
@@ -187,8 +223,34 @@
     Finish("bad-packet");
   }
 
-  void OnDrained() override { assign_unsent_ = false; }
-  void OnEnd(const char* reason) override { Finish(reason); }
+  // Returns the cost, in messages.
+  std::size_t HandleMessage(const Message& message) {
+    messages_ += 1;
+    if (message.form == Message::Form::kLine) {
+      front_->HandleAdminLine(this, message.data);
+      return kAdminLineCost;
+    }
+    if (!HandlePacket(message)) {
+      front_->counters_->bad_input += 1;
+      SendError("bad_packet", "Unknown or malformed packet");
+    }
+    return 1;
+  }
+
+  void OnDrained() override {
+    assign_unsent_ = false;
+    if (Available() > 0 && !more_to_read_) OnRead();
+  }
+  // What arrived before the end is handled first: background jobs and workers' results.
+  void OnEnd(const char* reason) override {
+    if (Available() == 0 || parser_.error() != nullptr) return Finish(reason);
+    end_reason_ = reason;
+    OnPeerClosedWhilePaused();
+  }
+  void OnPeerClosedWhilePaused() override {
+    client_gone_ = true;
+    if (!more_to_read_) OnRead();
+  }
 
   void SendError(std::string_view code, std::string_view text) {
     Send(Response(Type::kError, {code, text}));
@@ -210,6 +272,7 @@
             (*arguments)[1].size() > kMaxNameBytes) {
           return false;
         }
+        if (client_gone_ && !IsBackground(message.type)) return true;
         front_->Submit(this, message.type, (*arguments)[0], (*arguments)[1], (*arguments)[2]);
         return true;
       }
@@ -246,12 +309,13 @@
       }
       case Type::kCantDo:
         if (data.empty()) return false;
-        abilities_.erase(std::string(data));
+        RemoveAbility(std::string(data));
         ReturnUnsupported();
         front_->UpdateWorker(this);
         return true;
       case Type::kResetAbilities:
         abilities_.clear();
+        ability_bytes_ = 0;
         ReturnUnsupported();
         front_->UpdateWorker(this);
         return true;
@@ -287,15 +351,17 @@
   // Answers GET_STATUS and GET_STATUS_UNIQUE.
   bool SendStatus(Type type, std::string_view data) {
     const bool by_unique = type == Type::kGetStatusUnique;
-    std::shared_ptr<Job> job = by_unique ? nullptr : front_->FindByHandle(data);
-    for (const auto& [key, candidate] : front_->jobs_by_unique_) {
-      if (by_unique && key.second == data) job = candidate;
-    }
+    const std::shared_ptr<Job> job =
+        by_unique ? front_->FindByUnique(data) : front_->FindByHandle(data);
     const std::string_view known = job ? "1" : "0", running = job && job->running ? "1" : "0";
     const std::string_view numerator = job ? std::string_view(job->numerator) : "0";
     const std::string_view denominator = job ? std::string_view(job->denominator) : "0";
     if (by_unique) {
-      const std::string count = std::to_string(job ? job->waiters.size() : 0);
+      std::size_t submissions = 0;
+      if (job) {
+        for (const auto& [peer, count] : job->waiters) submissions += count;
+      }
+      const std::string count = std::to_string(submissions);
       Send(Response(Type::kStatusResUnique, {data, known, running, numerator, denominator, count}));
     } else {
       Send(Response(Type::kStatusRes, {data, known, running, numerator, denominator}));
@@ -305,10 +371,25 @@
 
   // Handles CAN_DO and CAN_DO_TIMEOUT.
   bool AddAbility(std::string_view function, int timeout_s) {
-    abilities_[std::string(function)] = timeout_s;
+    const auto known = abilities_.find(std::string(function));
+    if (known != abilities_.end()) {
+      known->second = timeout_s;
+      return true;
+    }
+    const std::size_t bytes = function.size() + kAbilityOverheadBytes;
+    if (ability_bytes_ + bytes > kMaxAbilityBytes) {
+      front_->counters_->bad_input += 1;
+      SendError("too_many_functions", "This connection has registered too many functions");
+      return true;
+    }
+    ability_bytes_ += bytes;
+    abilities_.emplace(function, timeout_s);
     front_->UpdateWorker(this);
     return true;
   }
+  void RemoveAbility(const std::string& function) {
+    if (abilities_.erase(function) > 0) ability_bytes_ -= function.size() + kAbilityOverheadBytes;
+  }
 
   // Handles GRAB_JOB and GRAB_JOB_UNIQ.
   void HandleGrabJob(Type request_type) {
@@ -374,14 +455,7 @@
     if (type == Type::kWorkData || type == Type::kWorkWarning) {
       // Buffered until the job completes: an attempt that fails after some data may be retried, and
       // the client must not receive the data of both.
-      task.partial_bytes += task.abandoned ? 0 : data.size();
-      if (task.partial_bytes > kMaxPartialBytes) {
-        task.abandoned = true;
-        task.partial_data.clear();
-        ReportEnd(task, AttemptStatus::kServerError);
-      } else if (!task.abandoned) {
-        task.partial_data.emplace_back(type, data);
-      }
+      if (!task.abandoned) AddPartialData(&task, type, data);
       return true;
     }
     if (type == Type::kWorkException) {
@@ -389,6 +463,7 @@
       return true;  // WORK_FAIL follows
     }
     Task done = std::move(task);
+    front_->partial_bytes_ -= done.partial_bytes;
     loop_->deadlines().Drop(&done.limit_timer);
     assigned_.erase(it);
     if (done.abandoned) return true;
@@ -411,6 +486,22 @@
     return true;
   }
 
+  // Keeps a WORK_DATA or WORK_WARNING, or fails the attempt if there is too much of them.
+  void AddPartialData(Task* task, Type type, std::string_view data) {
+    const std::size_t bytes = data.size() + kPartOverheadBytes;
+    if (task->partial_bytes + bytes <= kMaxPartialBytes &&
+        front_->partial_bytes_ + bytes <= kMaxPartialBytesInAll) {
+      task->partial_bytes += bytes;
+      front_->partial_bytes_ += bytes;
+      task->partial_data.emplace_back(type, data);
+      return;
+    }
+    task->abandoned = true;
+    task->partial_data.clear();
+    front_->partial_bytes_ -= std::exchange(task->partial_bytes, 0);
+    ReportEnd(*task, AttemptStatus::kServerError);
+  }
+
   // Answers a report for a job that is not assigned to this worker.
   bool RejectUnknownJob() {
     SendError("unknown_job", "No such job is assigned to this worker");
@@ -446,7 +537,13 @@
   std::map<std::string, int> abilities_;  // function, and time limit in seconds; 0: none
   std::deque<Task> queue_;
   std::map<std::string, Task, std::less<>> assigned_;
-  std::size_t messages_ = 0;  // complete messages received
+  std::size_t ability_bytes_ = 0;  // of abilities_
+  std::set<RequestId> awaited_jobs_;
+  std::size_t waits_ = 0;             // submissions that wait for a result
+  std::size_t messages_ = 0;          // complete messages received
+  bool more_to_read_ = false;         // OnRead is due again
+  bool client_gone_ = false;          // nobody reads answers to what is still in the input
+  const char* end_reason_ = nullptr;  // set once the peer has ended the stream
   Deadlines::TimerId deadline_ = Deadlines::kNone;
   bool wants_exceptions_ = false, sleeping_ = false, draining_ = false, assign_unsent_ = false;
 };
