One tenant leaves connections to workers to the others

What callers saw: while one Gearman connection sent sound jobs of one tenant as fast as it could, look-ups of another tenant inside its quota were answered 503.

The flood's attempts held all 480 connections to workers, which is no fault of a worker and no sign of a full tier, so no bucket limited the tenant and nothing was left for others.

Change: a tenant may have four attempts in flight for each connection that is free (a dynamic threshold, as for shared buffers of switches), so that one alone leaves a fifth to the others. Beyond it an attempt ends as before when no connection is left. With one tenant nothing changes.

--- a/src/net/http/worker_pool.cpp
+++ b/src/net/http/worker_pool.cpp
@@ -17,6 +17,9 @@
 // carries no request id, so it could be taken for the response to the next request and report a
 // running one as not started. After an error response, a connection is reused only after this time.
 constexpr double kReuseDelayS = 0.1;
+// A tenant may have this many attempts in flight for each connection that is still free: a dynamic
+// threshold, by which one tenant alone leaves a fifth of the connections to the others.
+constexpr std::size_t kInFlightPerFreeConnection = 4;
 constexpr double kIdleTimeoutShare = 0.6;  // of the idle time after which the worker closes
 
 // 4xx, except for those that are due to the worker or temporary: 408, 425 and 429.
@@ -456,15 +459,31 @@
     return forwarder_->OnAttemptEnded(client_request.request.id, attempt,
                                       {.status = AttemptStatus::kRejected});
   }
+  const int tenant = client_request.request.tenant;
+  if (!TenantMaySend(tenant)) {
+    return forwarder_->OnAttemptEnded(client_request.request.id, attempt,
+                                      {.status = AttemptStatus::kNotSent});
+  }
   const auto [connection, reason] = Acquire(worker);
   if (connection == nullptr) {
     return forwarder_->OnAttemptEnded(client_request.request.id, attempt, {.status = reason});
   }
-  in_flight_[{client_request.request.id, attempt}] = connection;
+  in_flight_[{client_request.request.id, attempt}] = {connection, tenant};
+  in_flight_by_tenant_[tenant] += 1;
   pooled->second.in_flight += 1;
   connection->SendRequest(client_request, attempt);
 }
 
+bool WorkerPool::TenantMaySend(int tenant) const {
+  if (!options_.tenant_count || options_.tenant_count() <= 1) return true;
+  const auto own = in_flight_by_tenant_.find(tenant);
+  if (own == in_flight_by_tenant_.end()) return true;
+  const DescriptorBudget& budget = forwarder_->loop()->budget();
+  const std::size_t used = in_flight_.size() + budget.sibling_workers;
+  const std::size_t free = budget.max_workers - std::min(used, budget.max_workers);
+  return own->second < kInFlightPerFreeConnection * free;
+}
+
 void WorkerPool::Probe(const std::string& worker) {
   const auto [connection, reason] = Acquire(worker);
   if (connection == nullptr) return forwarder_->OnProbeAnswered(worker, {.status = reason});
@@ -475,7 +494,7 @@
 void WorkerPool::Cancel(RequestId id, int attempt) {
   const auto it = in_flight_.find({id, attempt});
   if (it == in_flight_.end()) return;
-  WorkerConnection* connection = it->second;
+  WorkerConnection* connection = it->second.connection;
   RemoveInFlight(id, attempt);
   connection->SuppressReport();
   connection->Finish("called-off");
@@ -483,13 +502,15 @@
 
 void WorkerPool::CancelUnsent(RequestId id, int attempt) {
   const auto it = in_flight_.find({id, attempt});
-  if (it != in_flight_.end()) it->second->CancelUnsent();
+  if (it != in_flight_.end()) it->second.connection->CancelUnsent();
 }
 
 void WorkerPool::RemoveInFlight(RequestId id, int attempt) {
   const auto it = in_flight_.find({id, attempt});
   if (it == in_flight_.end()) return;
-  workers_[it->second->worker()].in_flight -= 1;
+  workers_[it->second.connection->worker()].in_flight -= 1;
+  const auto own = in_flight_by_tenant_.find(it->second.tenant);
+  if (--own->second == 0) in_flight_by_tenant_.erase(own);
   in_flight_.erase(it);
 }
 
--- a/src/net/http/worker_pool.h
+++ b/src/net/http/worker_pool.h
@@ -34,6 +34,8 @@
     // an attempt of the job, right before its request is written; empty: it is not written. Not
     // asked for a connection that is already up: the caller of Send must have checked.
     std::function<bool(const std::string& durable_job)> may_act = {};
+    // The number of tenants now; empty: one.
+    std::function<std::size_t()> tenant_count = {};
   };
   WorkerPool(Forwarder* forwarder, Options options);
   ~WorkerPool() override;
@@ -84,15 +86,22 @@
   void HandOverIdle(WorkerConnection* idle);
   // Evicts the connection that has been idle longest, of any worker. False if none is idle.
   bool CloseOldestIdle();
-  // Frees the attempt's place under the worker's limit.
+  // Frees the attempt's place under the limits of its worker and its tenant.
   void RemoveInFlight(RequestId id, int attempt);
+  // Whether one more attempt of the tenant leaves enough connections to the others.
+  bool TenantMaySend(int tenant) const;
 
   Forwarder* forwarder_;
   Options options_;
   HandoverCallback handover_;
   std::map<std::string, PooledWorker> workers_;
   std::map<WorkerConnection*, std::unique_ptr<WorkerConnection>> connections_;
-  std::map<std::pair<RequestId, int>, WorkerConnection*> in_flight_;
+  struct InFlight {
+    WorkerConnection* connection = nullptr;
+    int tenant = 0;
+  };
+  std::map<std::pair<RequestId, int>, InFlight> in_flight_;
+  std::map<int, std::size_t> in_flight_by_tenant_;
 };
 
 // Parses a load report, either "name=value,..." or a JSON object, into `outcome`. Names that are
--- a/src/node/node_forwarder.cpp
+++ b/src/node/node_forwarder.cpp
@@ -24,6 +24,7 @@
   options.may_act = [this](const std::string& durable_job) {
     return durable_jobs_ && durable_jobs_->MayAct(durable_job);
   };
+  options.tenant_count = [this] { return config_.tenants.size(); };
   worker_pool_ = std::make_unique<http::WorkerPool>(forwarder_.get(), std::move(options));
   forwarder_->AddDriver(worker_pool_.get());
   if (Status listening = ListenForClients(); !listening) return listening;
