A turn of the loop is bounded in time, with the work that its events defer

What callers saw: while a connection sent jobs as fast as it could, others' answers took a few turns of up to 50 ms each; in the build with sanitizers, where a decision takes longer, over 2.5 s.

Cause: 64 messages were handled in one go, whatever they cost, and a turn of 20 ms of events could defer so many submissions that their decisions took several times as long again.

--- a/src/net/gearman/peer.h
+++ b/src/net/gearman/peer.h
@@ -33,10 +33,8 @@
 constexpr std::size_t kMaxAbilityBytes = 32 * 1024;  // of the functions of one connection
 constexpr std::size_t kAbilityOverheadBytes = 64;    // of one function, besides its name
 constexpr std::size_t kMaxWaits = 4096;  // submissions of one connection that wait for a result
-// After this many messages of one connection, others get their turn.
-constexpr std::size_t kMaxMessagesPerTurn = 64;
-// An administrative line counts as so many messages: it looks at all jobs or connections.
-constexpr std::size_t kAdminLineCost = kMaxMessagesPerTurn;
+// After so many seconds with the messages of one connection, others get their turn.
+constexpr double kMaxReadTurnS = 0.001;
 
 // Encodes a packet to a client or a worker.
 inline std::string Response(Type type, std::initializer_list<std::string_view> arguments) {
@@ -207,15 +205,16 @@
   // many bytes to read first.
   void ReadMessages() {
     constexpr std::size_t kPeekBytes = 4 * 1024;
-    for (std::size_t cost = 0; !closed() && parser_.error() == nullptr;) {
+    const double turn_ends_at = loop_->Now() + kMaxReadTurnS;
+    while (!closed() && parser_.error() == nullptr) {
       if (Available() == 0) return;
       if (!client_gone_ && Unsent() > kUnsentBytesBeforeReading) return;
-      if (cost >= kMaxMessagesPerTurn) {
+      if (loop_->Now() >= turn_ends_at) {
         more_to_read_ = true;
         return ReadLater();
       }
       Consume(parser_.Feed(Peek(kPeekBytes)));
-      if (const auto message = parser_.Take()) cost += HandleMessage(*message);
+      if (const auto message = parser_.Take()) HandleMessage(*message);
     }
     if (closed()) return;
     front_->counters_->bad_input += 1;
@@ -223,18 +222,14 @@
     Finish("bad-packet");
   }
 
-  // Returns the cost, in messages.
-  std::size_t HandleMessage(const Message& message) {
+  void HandleMessage(const Message& message) {
     messages_ += 1;
     if (message.form == Message::Form::kLine) {
       front_->HandleAdminLine(this, message.data);
-      return kAdminLineCost;
-    }
-    if (!HandlePacket(message)) {
+    } else if (!HandlePacket(message)) {
       front_->counters_->bad_input += 1;
       SendError("bad_packet", "Unknown or malformed packet");
     }
-    return 1;
   }
 
   void OnDrained() override {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -12,6 +12,7 @@
 
 // Longest time in one turn for waiting for events and handling them.
 constexpr double kMaxTurnS = 0.02;
+constexpr std::size_t kMaxDeferredCallbacks = 32;
 
 template <typename Clock>
 double SecondsSinceEpoch() {
@@ -55,6 +56,11 @@
   for (const auto& callback : client_freed_callbacks_) callback();
 }
 
+void Loop::Defer(std::function<void()> callback) {
+  deferred_.push_back(std::move(callback));
+  if (deferred_.size() >= kMaxDeferredCallbacks) event_base_loopbreak(base_.get());
+}
+
 void Loop::Turn() {
   double wait_s = kMaxTurnS;
   if (const auto next = deadlines_.Next()) wait_s = std::clamp(*next - Now(), 0.0, kMaxTurnS);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -7,6 +7,7 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,6 +45,12 @@
     const std::size_t available = sockets > 80 ? sockets - 64 : 16;
     return {.max_clients = available / 2, .max_workers = available / 2};
   }
+  // Lowers the number of clients so that what all of them may have the process hold takes half of
+  // this memory at most. At least 16 stay available.
+  void LimitClientsToMemory(std::size_t bytes) {
+    constexpr std::size_t kBytesPerClient = 192 * 1024;  // a request, and input ahead of its answer
+    max_clients = std::min(max_clients, std::max<std::size_t>(16, bytes / 2 / kBytesPerClient));
+  }
 };
 
 // Dispatches I/O events, timers and deferred callbacks.
@@ -76,8 +83,9 @@
   void NotifyClientCapacity();
 
   // Runs a callback at the end of the current turn. Connections are destroyed there, so that none
-  // is destroyed within one of its own callbacks.
-  void Defer(std::function<void()> callback) { deferred_.push_back(std::move(callback)); }
+  // is destroyed within one of its own callbacks. Many callbacks end the turn early: they may take
+  // longer than the events that defer them.
+  void Defer(std::function<void()> callback);
   // One iteration of the loop: waits for events until the next deadline at the latest, handles
   // them, runs the timers that are due, and then the deferred callbacks.
   void Turn();
