The number of clients follows the memory limit of the configuration

What callers saw: with hundreds of clients that kept all that a node lets them keep, a process passed its memory limit and was killed.

Cause: the number of clients followed from the limit on sockets alone. A request of 64 KB and input ahead of its answer take up to 188 KB (measured: 460 clients, 93 MB), so with 4,096 sockets more than 350 MB.

Change: `limits.memory_mb`, which the platform gives, is read; clients of all fronts together may take half of it, 192 KB each, at least 16 clients. At 192 MB and 1,024 sockets nothing changes (480).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -148,6 +148,7 @@
       !ReadValue(root, "peers_all", &config->peers_all, error) ||
       !ReadValue(root, "log_level", &config->log_level, error) ||
       !ReadValue(node_limits, "sockets", &config->max_sockets, error) ||
+      !ReadValue(node_limits, "memory_mb", &config->max_memory_mb, error) ||
       !ReadValue(limits, "conn_idle_s", &config->connection_idle_timeout_s, error) ||
       !ReadValue(limits, "connect_timeout_s", &config->connect_timeout_s, error)) {
     return false;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -29,6 +29,7 @@
   std::vector<std::string> peers;  // addresses
   std::uint64_t seed = 0;          // of the random number generators
   std::size_t max_sockets = 1024;
+  std::size_t max_memory_mb = 0;  // 0: not limited
 
   // From the section `settings`.
   balancing::Settings settings;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,6 +30,9 @@
 
 Status Node::Start() {
   loop_.budget() = DescriptorBudget::ForSocketLimit(config_.max_sockets);
+  if (config_.max_memory_mb > 0) {
+    loop_.budget().LimitClientsToMemory(config_.max_memory_mb * 1024 * 1024);
+  }
   std::uint64_t seed = config_.seed;
   if (seed == 0) seed = std::random_device{}();
   RequestStateFromPredecessor();
