--- a/src/encoding/json_value.cpp
+++ b/src/encoding/json_value.cpp
@@ -74,7 +74,7 @@
 
 std::optional<JsonValue> JsonValue::Find(std::string_view name) const {
   std::optional<JsonValue> found;
-  ForEachMember([&](const std::string& member_name, JsonValue value) {
+  ForEachMember([&](const std::string& member_name, const JsonValue& value) {
     if (member_name == name) found = value;
   });
   return found;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -139,7 +139,7 @@
 }
 
 bool Connection::DiscardReceived() {
-  std::array<char, 64 * 1024> bytes;
+  std::array<char, 64 * 1024> bytes{};
   for (std::size_t discarded = 0; discarded < kMaxDiscardedBytesPerCheck;) {
     const ssize_t received = recv(descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT);
     if (received < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -58,7 +58,7 @@
       memory, started_ms;
 };
 
-EntryFields ReadEntryFields(JsonValue entry) {
+EntryFields ReadEntryFields(const JsonValue& entry) {
   EntryFields fields;
   const std::pair<std::string_view, std::optional<JsonValue>*> members[] = {
       {"id", &fields.id},
@@ -72,7 +72,7 @@
       {"slots", &fields.slots},
       {"memory", &fields.memory},
       {"started_ms", &fields.started_ms}};
-  entry.ForEachMember([&](const std::string& name, JsonValue value) {
+  entry.ForEachMember([&](const std::string& name, const JsonValue& value) {
     for (const auto& [member_name, field] : members) {
       if (name == member_name) *field = value;
     }
@@ -105,7 +105,8 @@
 }
 
 // Parses an entry of a list; nullopt without an id.
-std::optional<ListEntry> ReadListEntry(JsonValue value, const std::vector<std::string>& zones,
+std::optional<ListEntry> ReadListEntry(const JsonValue& value,
+                                       const std::vector<std::string>& zones,
                                        const std::vector<std::string>& kinds) {
   const EntryFields fields = ReadEntryFields(value);
   if (!fields.id || !fields.id->is_string()) return std::nullopt;
@@ -144,7 +145,7 @@
   const std::optional<JsonValue> object = JsonValue::Parse(text);
   if (!object || !object->is_object()) return *error = "the list is not a JSON object", false;
   std::optional<JsonValue> servers, version, full;
-  object->ForEachMember([&](const std::string& name, JsonValue value) {
+  object->ForEachMember([&](const std::string& name, const JsonValue& value) {
     if (name == "servers") servers = value;
     if (name == "version") version = value;
     if (name == "full") full = value;
@@ -153,7 +154,7 @@
   list->version = static_cast<long long>(Number(version, 0));
   list->full = full && full->Boolean().value_or(false);
   bool too_long = false;
-  servers->ForEachElement([&](JsonValue server) {
+  servers->ForEachElement([&](const JsonValue& server) {
     if (std::optional<ListEntry> entry = ReadListEntry(server, zones, kinds)) {
       list->entries.push_back(*std::move(entry));
     }
--- a/src/net/http/parser.h
+++ b/src/net/http/parser.h
@@ -42,7 +42,7 @@
     // Fields of the head: a short one takes many times its bytes.
     std::size_t fields = 256;
   };
-  Parser(Side side, Limits limits) : side_(side), limits_(limits) {}
+  Parser(Side side, const Limits& limits) : side_(side), limits_(limits) {}
 
   // Consumes bytes up to the end of the current message and returns how many. Consumes none after
   // an error.
--- a/src/net/http/worker_pool.cpp
+++ b/src/net/http/worker_pool.cpp
@@ -48,7 +48,7 @@
   if (text.starts_with('{')) {
     const std::optional<JsonValue> object = JsonValue::Parse(text);
     if (!object) return;
-    object->ForEachMember([&](const std::string& name, JsonValue value) {
+    object->ForEachMember([&](const std::string& name, const JsonValue& value) {
       if (const std::optional<double> number = value.Number()) store(name, *number);
     });
     return;
--- a/tests/descriptor_limit_test.cpp
+++ b/tests/descriptor_limit_test.cpp
@@ -70,5 +70,16 @@
   EXPECT_FALSE(idle_clients[0]->ended);
 }
 
+// Guards against more clients than the memory limit has room for, where there are many descriptors.
+TEST(DescriptorLimit, ClientsFollowTheMemoryLimitToo) {
+  DescriptorBudget budget = DescriptorBudget::ForSocketLimit(4'096);
+  budget.LimitClientsToMemory(96 * 1024 * 1024);
+  EXPECT_EQ(budget.max_clients, 256u);
+  budget.LimitClientsToMemory(1);
+  EXPECT_EQ(budget.max_clients, 16u);
+  NodeHarness harness(1, R"("limits":{"sockets":1024,"memory_mb":24},)");
+  EXPECT_EQ(harness.node->loop().budget().max_clients, 64u);
+}
+
 }  // namespace
 }  // namespace millethollow
--- a/tests/json_value_test.cpp
+++ b/tests/json_value_test.cpp
@@ -45,7 +45,7 @@
   EXPECT_EQ(object->Find("n")->String(), std::nullopt);
   EXPECT_FALSE(object->Find("missing"));
   std::vector<std::string> elements;
-  object->Find("a")->ForEachElement([&](JsonValue value) {
+  object->Find("a")->ForEachElement([&](const JsonValue& value) {
     elements.emplace_back(value.text());
     return elements.size() < 2;
   });
