--- a/review/rig-2/durable.cpp
+++ b/review/rig-2/durable.cpp
@@ -42,6 +42,7 @@
 int main(int argc, char** argv) {
   Begin(argc, argv);
   const bool trouble = Trouble();
+  const bool only_kill = std::getenv("ONLY_KILL") != nullptr;  // no release, and discovery stays up
   static Folder folder;
   static Runs runs;
   std::vector<NodePorts> ports(kNodes);
@@ -106,7 +107,7 @@
   // A release: workers are replaced one after the other, each comes back as a fresh start.
   std::atomic<bool> release_ends{false};
   std::thread release([&] {
-    for (int i = 0; !release_ends && trouble; i = (i + 1) % kWorkers) {
+    for (int i = 0; !release_ends && trouble && !only_kill; i = (i + 1) % kWorkers) {
       const auto worker_port = worker_ports[static_cast<std::size_t>(i)];
       discovery->Change(name_of(i), Entry(name_of(i), worker_port, i, "terminating"));
       Sleep(0.7);
@@ -116,9 +117,9 @@
   });
   Sleep(1.2);
   // Discovery has too many callers for a moment: calls and open watches fail.
-  if (trouble) discovery->SetDown(true);
+  if (trouble && !only_kill) discovery->SetDown(true);
   Sleep(0.45);
-  if (trouble) discovery->SetDown(false);
+  if (trouble && !only_kill) discovery->SetDown(false);
 
   int number = 0;
   for (const double until = Now() + kSubmitForS; Now() < until; Sleep(kJobGapS)) {
--- a/review/rig-2/rules.cpp
+++ b/review/rig-2/rules.cpp
@@ -1,5 +1,6 @@
-// Three nodes are one cluster. Background charges run that must not be doubled ('once'). A new configuration gives the
-// class another effect for what comes from then on; then the node that took the charges is told to end.
+// Three nodes are one cluster. Background charges run that must not be doubled ('once'). A new configuration removes
+// their class and adds one with another effect, to which the Gearman functions lead from then on; then the node that
+// took the charges is told to end.
 #include "rig.h"
 
 using namespace rig;
@@ -14,7 +15,7 @@
 };
 
 std::string Config(int self, const std::vector<NodePorts>& ports, const std::string& known, const std::string& folder,
-                   const std::string& semantics) {
+                   bool new_class) {
   std::string members;
   for (int i = 0; i < kNodes; ++i) {
     members += std::string(i > 0 ? "," : "") + "{\"id\":\"m" + std::to_string(i) + "\",\"address\":\"" +
@@ -24,7 +25,8 @@
   Settings settings;
   settings.balancers = kNodes;
   settings.ordinal = self;
-  settings.charge_semantics = semantics;
+  settings.charge_class = new_class ? "cobro-directo" : "cobro-envio";
+  settings.charge_semantics = new_class ? "repeatable" : "once";
   settings.charge_group = "all";
   const NodePorts& own = ports[static_cast<std::size_t>(self)];
   const std::string name = "m" + std::to_string(self);
@@ -53,7 +55,7 @@
   std::vector<std::unique_ptr<Process>> nodes;
   for (int i = 0; i < kNodes; ++i) {
     const std::string name = "m" + std::to_string(i);
-    const std::string file = folder.Write(name + ".json", Config(i, ports, List(known), folder.path(), "once"));
+    const std::string file = folder.Write(name + ".json", Config(i, ports, List(known), folder.path(), false));
     std::filesystem::create_directory(folder.path() + "/tmp-" + name);
     nodes.push_back(std::make_unique<Process>(name, file, folder.path() + "/tmp-" + name,
                                               folder.path() + "/" + name + ".log"));
@@ -89,7 +91,7 @@
   const bool only_restart = std::getenv("ONLY_RESTART") != nullptr;
   if (Trouble() && !only_restart) {
     for (int i = 0; i < kNodes; ++i) {
-      folder.Write("m" + std::to_string(i) + ".json", Config(i, ports, List(known), folder.path(), "repeatable"));
+      folder.Write("m" + std::to_string(i) + ".json", Config(i, ports, List(known), folder.path(), true));
       nodes[static_cast<std::size_t>(i)]->Signal(SIGHUP);
     }
   }
