--- a/review/rig-2/rules.cpp
+++ b/review/rig-2/rules.cpp
@@ -66,21 +66,28 @@
     }
     return true;
   });
-  if (!ready) End(kCannotRun, folder);
+  if (!ready) {
+    for (auto& node : nodes) RECORD("not ready: process %d %s", node->pid(), node->Running() ? "runs" : "ended");
+    End(kCannotRun, folder);
+  }
+  Sleep(5);  // docs/copies.md: a log that takes promises needs a view or two, some 3 s
 
   std::vector<std::string> promised;
   Gearman client(ports[0].gearman);
   const auto submit = [&](const std::string& job) {
     client.Send(kSubmitJobBg, {"cobro-envio.grano-sur", "u-" + job, job});
     const auto packet = client.Read(3);
-    if (!packet || packet->type != kJobCreated) return false;
+    if (!packet || packet->type != kJobCreated) {
+      RECORD("not promised job=%s %s", job.c_str(), packet ? packet->arguments.back().c_str() : "no answer");
+      return false;
+    }
     RECORD("promised job=%s handle=%s", job.c_str(), packet->arguments[0].c_str());
     promised.push_back(job);
     return true;
   };
   int first = 0;
-  if (!Until(20, [&] {
-        Sleep(1);
+  if (!Until(30, [&] {
+        Sleep(2);
         return submit("first-" + std::to_string(++first));
       })) {
     End(kCannotRun, folder);
