Review stand-ins: a case that runs out of time removes its folder too

Cause: the watchdog at 116 s ended the processes and left the temporary folder. Change: it waits for the processes and removes the folder.

--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -584,6 +584,12 @@
   Folder() {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     if (mkdtemp(pattern.data()) != nullptr) path_ = pattern;
+    Current() = path_;
+  }
+  // The folder of this run; empty before it is made.
+  static std::string& Current() {
+    static std::string current;
+    return current;
   }
   ~Folder() {
     if (!path_.empty() && std::getenv("KEEP") == nullptr) std::filesystem::remove_all(path_);
@@ -778,7 +784,11 @@
   std::thread([] {
     Sleep(116);
     RECORD("out of time");
-    for (const pid_t pid : Process::Started()) kill(pid, SIGKILL);
+    for (const pid_t pid : std::set<pid_t>(Process::Started())) {
+      kill(pid, SIGKILL);
+      waitpid(pid, nullptr, 0);
+    }
+    if (!Folder::Current().empty() && std::getenv("KEEP") == nullptr) std::filesystem::remove_all(Folder::Current());
     _exit(kCannotRun);
   }).detach();
 }
